--- a/Source/Consensus/ConsensusCore.cxx
+++ b/Source/Consensus/ConsensusCore.cxx
@@ -56,6 +56,9 @@
       mLog.Append(std::move(entry));
     }
   }
+  if (!mOptions.mMayFound && !IsAdmitted()) {
+    mIdentity.mEverAdmitted = true;
+  }
   if (mLog.Last().mTerm > mHard.mTerm) {
     mHard.mTerm = mLog.Last().mTerm;
     mHard.mVotedFor = {};
--- a/Source/Consensus/ConsensusCore.h
+++ b/Source/Consensus/ConsensusCore.h
@@ -42,6 +42,9 @@
   std::chrono::milliseconds mVerifyTimeout{ 5000 };
   /** Time after which a silent learner is forgotten. */
   std::chrono::milliseconds mLearnerExpiry{ 5000 };
+  /** Time after which a silent voter gives its place to a learner with a disk,
+   * where the group keeps its own number of voters. */
+  std::chrono::milliseconds mVoterReplacement{ 3000 };
 };
 
 constexpr std::size_t kKibibyte = 1024;
@@ -74,6 +77,12 @@
   bool mDurable = true;
   /** Whether any instance that asks is taken in as a learner. */
   bool mAdmitLearners = true;
+  /** False for a replica that must not found a group: its installation has run
+   * before, and an empty storage means that its disk was lost. */
+  bool mMayFound = true;
+  /** Number of voters that the leader keeps by promoting learners with disks
+   * and replacing silent voters; zero leaves the voters to operators. */
+  std::size_t mTargetVoters = 0;
   ConsensusTimings mTimings;
   ConsensusLimits mLimits;
   std::uint64_t mSeed = 0;
@@ -352,6 +361,10 @@
   void Demote();
   void TrackPeers();
   void AdvanceMembership();
+  /** Promotes or replaces one voter, where the group keeps their number. */
+  void KeepVoters();
+  const ReplicaId* CaughtUpLearner() const;
+  const ReplicaId* SilentVoter() const;
   bool IsCaughtUp(const ReplicationProgress& aProgress) const;
   Result<void> CheckChange() const;
   Result<void> CheckBase(const VoterChange& aChange) const;
--- a/Source/Consensus/ConsensusGroup.cxx
+++ b/Source/Consensus/ConsensusGroup.cxx
@@ -91,6 +91,8 @@
   core.mInitialVoters = mOptions.mInitialVoters;
   core.mDurable = mJournal != nullptr;
   core.mAdmitLearners = mOptions.mAdmitLearners;
+  core.mMayFound = mOptions.mMayFound;
+  core.mTargetVoters = mOptions.mTargetVoters;
   core.mTimings = mOptions.mTimings;
   core.mLimits = mOptions.mLimits;
   core.mSeed = seed + 1;
--- a/Source/Consensus/ConsensusGroup.h
+++ b/Source/Consensus/ConsensusGroup.h
@@ -37,6 +37,11 @@
   std::vector<InstanceName> mInitialVoters;
   /** Whether any instance that asks is taken in as a learner. */
   bool mAdmitLearners = true;
+  /** False where an empty storage means that the disk was lost. */
+  bool mMayFound = true;
+  /** Number of voters that the group keeps by itself; zero leaves the voters
+   * to operators. */
+  std::size_t mTargetVoters = 0;
   ConsensusTimings mTimings;
   ConsensusLimits mLimits;
   /** Time after which a proposal or a barrier is given up. */
--- a/Source/Daemon/Main.cxx
+++ b/Source/Daemon/Main.cxx
@@ -6,6 +6,8 @@
 
 #include "Daemon/Daemon.h"
 #include "Daemon/Settings.h"
+#include "Dispatch/NodeSettings.h"
+#include "platform/Node.h"
 
 namespace {
 
@@ -25,6 +27,12 @@
 Result<void>
 RunDaemon(const char* aProgram, const std::string& aPath)
 {
+  if (dispatch::IsNodeSettings(aPath)) {
+    BOOST_OUTCOME_TRY(node, dispatch::LoadNodeSettings(aPath));
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(aProgram);
+    return platform::RunNode(node, aPath);
+  }
   BOOST_OUTCOME_TRY(settings, LoadSettings(aPath));
   BOOST_OUTCOME_TRYV(CheckListenAddresses(settings));
   StartLogging(aProgram, settings);
--- /dev/null
+++ b/Source/Dispatch/Coordinator.h
@@ -0,0 +1,228 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Base/EventLog.h"
+#include "Dispatch/Admission.h"
+#include "Dispatch/DispatchJob.h"
+#include "Dispatch/Placement.h"
+#include "Dispatch/WorkerCalls.h"
+#include "Dispatch/WorkerSession.h"
+
+namespace almondspoke::dispatch {
+
+/** \brief Where the coordinator answers calls. */
+class CallReplies
+{
+public:
+  virtual ~CallReplies() = default;
+  /** Answers a call; each call is answered at most once. */
+  virtual void Reply(CallId aCall, const JobReply& aReply) = 0;
+};
+
+/** \brief Times and bounds of a Coordinator. */
+struct CoordinatorOptions
+{
+  /** Longest lease that workers grant. */
+  std::chrono::milliseconds mMaxHold{ 1000 };
+  /** Time that a hold order waits at the worker for the next end. Less than a
+   * third of the lease, so that one lost answer does not end it. */
+  std::chrono::milliseconds mHoldWait{ 300 };
+  /** Time for the answer to a hold order beyond its wait: several round trips
+   * and one retransmission. */
+  std::chrono::milliseconds mHoldSlack{ 300 };
+  /** Time for the answer to a start or a stop. */
+  std::chrono::milliseconds mOrderTimeout{ 250 };
+  /** Time for which the end of a job is remembered, for callers that ask
+   * again. */
+  std::chrono::milliseconds mResultsKept{ 15'000 };
+  std::uint64_t mSeed = 1;
+};
+
+/** \brief Counts of what a Coordinator has done since it was made. */
+struct CoordinatorCounters
+{
+  std::uint64_t mAccepted = 0;
+  std::uint64_t mRefused = 0;
+  std::uint64_t mCompleted = 0;
+  std::uint64_t mFailed = 0;
+  std::uint64_t mGivenUp = 0;
+  std::uint64_t mStarts = 0;
+  std::uint64_t mStops = 0;
+  std::uint64_t mHolds = 0;
+  std::uint64_t mUnansweredOrders = 0;
+  std::uint64_t mRunsDone = 0;
+  std::uint64_t mRunsFailed = 0;
+  std::uint64_t mRunsLost = 0;
+  std::uint64_t mStragglers = 0;
+};
+
+/** \brief Decides, on the leader, which job runs where.
+ *
+ * Driven by calls from outside and by the answers of workers; reads the time
+ * from its clock and sends orders through WorkerCalls, so that tests drive it
+ * without a network. A leader that takes over first reads the lists of all
+ * workers under its own fence, and starts nothing before it knows what earlier
+ * leaders may have running. Not thread-safe. */
+class Coordinator
+{
+public:
+  using TimePoint = Clock::Monotonic;
+
+  Coordinator(CoordinatorOptions aOptions,
+              const Clock& aClock,
+              WorkerCalls& aCalls,
+              CallReplies& aReplies,
+              EventLog& aLog);
+
+  /** Begins to lead.
+   * \param aComplete whether the reports are those of all workers, so that
+   *        nothing runs elsewhere */
+  void Lead(Fence aFence,
+            const std::vector<WorkerReport>& aReports,
+            bool aComplete);
+  /** Stops leading and forgets all jobs and workers. Waiting calls are not
+   * answered. */
+  void Resign();
+  bool IsLeading() const { return mLeading; }
+  /** True once it is known what earlier leaders may have running. */
+  bool IsSettled() const { return mSettled; }
+
+  void SetManifest(std::shared_ptr<const Manifest> aManifest);
+
+  void Call(CallId aCall, const JobCall& aRequest);
+  void OnCallerLeft(const CallerLeft& aLeft);
+  void OnReport(const WorkerReport& aReport);
+  /** A worker has been silent for long. */
+  void OnWorkerSilent(const WorkerId& aId);
+  /** Advances timers; to be called every few milliseconds while there is
+   * work. */
+  void Tick();
+
+  const CoordinatorCounters& Counters() const { return mCounters; }
+  const WorkerSessions& Workers() const { return mWorkers; }
+  std::size_t OpenJobs() const;
+  std::size_t AssignedRuns() const;
+
+private:
+  using JobPtr = std::unique_ptr<DispatchJob>;
+  using CallHandler = void (Coordinator::*)(CallId,
+                                            const JobCall&,
+                                            const QueueMatch&);
+  /** What became of an earlier leader's run before its job was known here. */
+  struct EarlyEnd
+  {
+    RunEnd mEnd;
+    TimePoint mAt;
+  };
+
+  // Callers (Coordinator.cxx).
+  void Submit(CallId aCall, const JobCall& aCallOf, const QueueMatch& aMatch);
+  void Query(CallId aCall, const JobCall& aCallOf, const QueueMatch& aMatch);
+  void Cancel(CallId aCall, const JobCall& aCallOf, const QueueMatch& aMatch);
+  void Count(CallId aCall, const QueueMatch& aMatch);
+  void Attach(DispatchJob& aJob, CallId aCall);
+  JobPtr MakeJob(const JobSubmission& aSubmission, const Queue& aQueue) const;
+  void Accept(JobPtr aJob, CallId aCall);
+  Backlog BacklogBefore(const DispatchJob& aJob) const;
+  void Reply(CallId aCall, JobReplyKind aKind, std::string aMessage = {});
+  void ReplyAll(DispatchJob& aJob, const JobReply& aReply);
+  void Refuse(DispatchJob& aJob, const char* aReason);
+  double Spread();
+
+  // Jobs and tasks (CoordinatorJobs.cxx).
+  DispatchJob* FindJob(const JobId& aId);
+  void MakeReady(DispatchJob& aJob, std::uint32_t aStep);
+  void RequeueTask(DispatchJob& aJob, DispatchTask& aTask);
+  void ReleaseTask(DispatchJob& aJob, DispatchTask& aTask, TaskPhase aNext);
+  void FinishTask(DispatchJob& aJob, const TaskId& aTask);
+  void FailTask(DispatchJob& aJob, const TaskId& aTask);
+  void EndJob(DispatchJob& aJob, JobState aState);
+  void DropWaitingTasks(DispatchJob& aJob);
+  void StopRunsOf(const DispatchJob& aJob);
+  void ClaimOrphans(DispatchJob& aJob);
+  void Schedule();
+  void ScheduleJob(DispatchJob& aJob, std::map<PoolName, Resources>& aFull);
+  void EnforcePatience(TimePoint aNow);
+  void ForgetEnded(TimePoint aNow);
+
+  // Orders and their answers (CoordinatorRuns.cxx).
+  OrderTarget TargetOf(const WorkerSession& aWorker) const;
+  RunNumber NextRun(DispatchTask& aTask) const;
+  void StartRun(DispatchJob& aJob, const TaskId& aTask, WorkerSession& aWorker);
+  void OnStarted(const WorkerBoot& aBoot,
+                 const RunId& aRun,
+                 const OrderResult& aResult);
+  void OnStartRefused(WorkerSession& aWorker,
+                      const RunId& aRun,
+                      OrderOutcome aOutcome);
+  void StopRun(WorkerSession& aWorker, const TaskId& aTask, LedgerRun& aRun);
+  void OnStopped(const WorkerBoot& aBoot,
+                 const RunId& aRun,
+                 const OrderResult& aResult);
+  void LoseRun(WorkerSession& aWorker, const TaskId& aTask, const char* aWhy);
+  void RetryStops(WorkerSession& aWorker);
+  void StopStragglers(WorkerSession& aWorker, TimePoint aNow);
+  bool IsStraggler(const DispatchJob& aJob,
+                   const TaskId& aTask,
+                   const LedgerRun& aRun,
+                   TimePoint aNow) const;
+
+  // Leases and lists (CoordinatorHolds.cxx).
+  WorkerSession* SessionOf(const WorkerBoot& aBoot);
+  void AddWorker(const WorkerReport& aReport);
+  void EndSession(const WorkerId& aId, const char* aWhy);
+  void Hold(WorkerSession& aWorker, bool aUrgent);
+  void HoldIfDue(WorkerSession& aWorker, TimePoint aNow);
+  void OnHeld(const WorkerBoot& aBoot,
+              std::uint64_t aHold,
+              bool aUrgent,
+              const HoldResult& aResult);
+  void OnUnanswered(WorkerSession& aWorker);
+  void TakeEnds(WorkerSession& aWorker, const std::vector<ListedEnd>& aEnds);
+  void TakeEnd(WorkerSession& aWorker, const ListedEnd& aEnd);
+  void TakeRunning(WorkerSession& aWorker,
+                   const std::vector<ListedRun>& aRunning);
+  void TakeUnknownRun(WorkerSession& aWorker, const ListedRun& aRun);
+  void DropMissing(WorkerSession& aWorker,
+                   std::uint64_t aHold,
+                   const std::vector<ListedRun>& aRunning);
+  void LapseIfDue(WorkerSession& aWorker, TimePoint aNow);
+  void StopUnclaimed(TimePoint aNow);
+  void TrySettle(TimePoint aNow);
+
+  const CoordinatorOptions mOptions;
+  const Clock& mClock;
+  WorkerCalls& mCalls;
+  CallReplies& mReplies;
+  EventLog& mLog;
+  std::mt19937_64 mRandom;
+
+  bool mLeading = false;
+  bool mSettled = false;
+  bool mReportsComplete = false;
+  Fence mFence = 0;
+  TimePoint mLeadSince{};
+  std::shared_ptr<const Manifest> mManifest;
+  WorkerSessions mWorkers;
+  std::unordered_map<JobId, JobPtr> mJobs;
+  /** Jobs with tasks that wait for room. */
+  std::set<std::pair<JobOrder, JobId>> mReady;
+  std::map<TaskId, EarlyEnd> mEarlyEnds;
+  std::uint64_t mNextOrder = 0;
+  TimePoint mNextSweep{};
+  CoordinatorCounters mCounters;
+};
+
+}
--- /dev/null
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -0,0 +1,467 @@
+// Sessions with workers: leases, lists of runs, and taking over.
+#include "Dispatch/Coordinator.h"
+
+#include <algorithm>
+
+namespace almondspoke::dispatch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Ends that are processed are acknowledged within this time, also on a worker
+ * that runs nothing any more. */
+constexpr milliseconds kAcknowledgeWithin{ 1500 };
+
+/** Pauses between hold orders that get no answer. */
+constexpr milliseconds kFirstRetry{ 30 };
+constexpr milliseconds kLongestRetry{ 500 };
+constexpr unsigned kMaxDoublings = 4;
+
+/** Unanswered hold orders after which no lease is granted any more, so that
+ * what runs on an unreachable worker ends. */
+constexpr unsigned kUnansweredToLapse = 2;
+
+/** Time that callers have, after a change of the leader, to hand in again the
+ * jobs whose runs an earlier leader started. */
+constexpr milliseconds kClaimTime{ 1500 };
+
+/** Part of a lease that an earlier leader may have granted last, in percent of
+ * the longest lease: a worker's clock may be slow. */
+constexpr int kLapsePercent = 106;
+constexpr int kWhole = 100;
+
+}
+
+WorkerSession*
+Coordinator::SessionOf(const WorkerBoot& aBoot)
+{
+  const auto worker = mWorkers.find(aBoot.mId);
+  const bool known =
+    worker != mWorkers.end() && worker->second.Report().mBoot == aBoot;
+  return known ? &worker->second : nullptr;
+}
+
+void
+Coordinator::OnReport(const WorkerReport& aReport)
+{
+  if (!mLeading) {
+    return;
+  }
+  const auto known = mWorkers.find(aReport.mBoot.mId);
+  if (known == mWorkers.end()) {
+    if (!aReport.mLeft) {
+      AddWorker(aReport);
+    }
+    return;
+  }
+  WorkerSession& worker = known->second;
+  if (worker.Report().mBoot.mBornMs > aReport.mBoot.mBornMs) {
+    return;
+  }
+  if (worker.Report().mBoot != aReport.mBoot) {
+    EndSession(aReport.mBoot.mId, "it has started again");
+    if (!aReport.mLeft) {
+      AddWorker(aReport);
+    }
+    return;
+  }
+  const bool changed = worker.Report().mDraining != aReport.mDraining ||
+                       worker.Report().mLeft != aReport.mLeft;
+  if (changed) {
+    EventLine(mLog, "worker-changed")
+      .With("worker", aReport.mBoot.mId)
+      .With("draining", aReport.mDraining)
+      .With("left", aReport.mLeft)
+      .With("runs", std::uint64_t{ worker.Runs().size() });
+  }
+  worker.Update(aReport);
+  if (aReport.mClockMs > 0) {
+    worker.ObserveClock(aReport.mClockMs, mClock.MonotonicNow());
+  }
+}
+
+void
+Coordinator::AddWorker(const WorkerReport& aReport)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  // At the start of a lead, those that are known have been known before.
+  const TimePoint seen = now == mLeadSince ? TimePoint{} : now;
+  const auto added = mWorkers.emplace(
+    aReport.mBoot.mId, WorkerSession(aReport, seen, mOptions.mMaxHold));
+  WorkerSession& worker = added.first->second;
+  if (aReport.mClockMs > 0) {
+    worker.ObserveClock(aReport.mClockMs, now);
+  }
+  EventLine(mLog, "worker-added")
+    .With("worker", aReport.mBoot.mId)
+    .With("born", aReport.mBoot.mBornMs)
+    .With("address", aReport.mAddress)
+    .With("pool", aReport.mPool)
+    .With("mcores", aReport.mCapacity.mMilliCores)
+    .With("draining", aReport.mDraining);
+  HoldIfDue(worker, now);
+}
+
+void
+Coordinator::OnWorkerSilent(const WorkerId& aId)
+{
+  const auto worker = mWorkers.find(aId);
+  if (worker == mWorkers.end()) {
+    return;
+  }
+  if (worker->second.Runs().empty()) {
+    EndSession(aId, "no report for long");
+  }
+}
+
+void
+Coordinator::EndSession(const WorkerId& aId, const char* aWhy)
+{
+  const auto found = mWorkers.find(aId);
+  if (found == mWorkers.end()) {
+    return;
+  }
+  WorkerSession& worker = found->second;
+  EventLine(mLog, "worker-ended")
+    .With("worker", aId)
+    .With("reason", aWhy)
+    .With("runs", std::uint64_t{ worker.Runs().size() });
+  while (!worker.Runs().empty()) {
+    LoseRun(worker, worker.Runs().begin()->first, aWhy);
+  }
+  mWorkers.erase(aId);
+}
+
+void
+Coordinator::HoldIfDue(WorkerSession& aWorker, TimePoint aNow)
+{
+  const bool unacknowledged =
+    aWorker.mProcessedEnds > aWorker.mAcknowledgedEnds &&
+    aNow - aWorker.mEndsSince >= kAcknowledgeWithin;
+  const bool wanted = !aWorker.mFenced || !aWorker.Runs().empty() ||
+                      unacknowledged || aWorker.mUnanswered > 0;
+  if (wanted && aNow >= aWorker.mNextHold) {
+    Hold(aWorker, false);
+  }
+}
+
+void
+Coordinator::Hold(WorkerSession& aWorker, bool aUrgent)
+{
+  if (aWorker.mHoldInFlight && !aUrgent) {
+    return;
+  }
+  const TimePoint now = mClock.MonotonicNow();
+  const bool extend = aWorker.IsClockKnown() && !aWorker.Report().mLeft &&
+                      aWorker.mUnanswered < kUnansweredToLapse &&
+                      (!aWorker.Runs().empty() || !aWorker.mFenced);
+  HoldOrder order;
+  order.mTarget = TargetOf(aWorker);
+  order.mLeaseUntil = extend ? aWorker.GrantLease(now) : 0;
+  order.mAcknowledged = aWorker.mProcessedEnds;
+  const bool waits = !aUrgent && aWorker.mFenced && aWorker.mUnanswered == 0 &&
+                     !aWorker.Runs().empty();
+  order.mWait = waits ? mOptions.mHoldWait : milliseconds(0);
+  if (!aUrgent) {
+    aWorker.mHoldInFlight = true;
+  }
+  const std::uint64_t number = ++aWorker.mHoldsSent;
+  ++mCounters.mHolds;
+  mCalls.Hold(order,
+              order.mWait + mOptions.mHoldSlack,
+              [this,
+               fence = mFence,
+               boot = order.mTarget.mBoot,
+               number,
+               aUrgent,
+               acknowledged = order.mAcknowledged](const HoldResult& aResult) {
+                if (!mLeading || fence != mFence) {
+                  return;
+                }
+                if (WorkerSession* worker = SessionOf(boot)) {
+                  if (aResult.mOutcome == OrderOutcome::Done) {
+                    worker->mAcknowledgedEnds =
+                      std::max(worker->mAcknowledgedEnds, acknowledged);
+                  }
+                  OnHeld(boot, number, aUrgent, aResult);
+                }
+              });
+}
+
+void
+Coordinator::OnHeld(const WorkerBoot& aBoot,
+                    std::uint64_t aHold,
+                    bool aUrgent,
+                    const HoldResult& aResult)
+{
+  WorkerSession& worker = *SessionOf(aBoot);
+  if (!aUrgent) {
+    worker.mHoldInFlight = false;
+  }
+  const bool otherBoot = aResult.mOutcome == OrderOutcome::OtherBoot ||
+                         (aResult.mBornMs != 0 && aBoot.mBornMs != 0 &&
+                          aResult.mBornMs != aBoot.mBornMs);
+  if (otherBoot) {
+    EndSession(aBoot.mId, "another boot answers at its address");
+    return;
+  }
+  if (aResult.mOutcome != OrderOutcome::Done) {
+    if (!aUrgent) {
+      OnUnanswered(worker);
+    }
+    return;
+  }
+  if (worker.mUnanswered > 0) {
+    EventLine(mLog, "worker-answers-again")
+      .With("worker", aBoot.mId)
+      .With("unanswered", worker.mUnanswered);
+  }
+  worker.mUnanswered = 0;
+  worker.mNextHold = {};
+  worker.ObserveClock(aResult.mClock, mClock.MonotonicNow());
+  worker.mFenced = true;
+  TakeEnds(worker, aResult.mEnded);
+  TakeRunning(worker, aResult.mRunning);
+  DropMissing(worker, aHold, aResult.mRunning);
+  if (!mSettled) {
+    TrySettle(mClock.MonotonicNow());
+  }
+  if (!worker.Runs().empty()) {
+    Hold(worker, false);
+  }
+  Schedule();
+}
+
+void
+Coordinator::OnUnanswered(WorkerSession& aWorker)
+{
+  const unsigned doublings = std::min(aWorker.mUnanswered, kMaxDoublings);
+  ++aWorker.mUnanswered;
+  aWorker.mNextHold = mClock.MonotonicNow() +
+                      std::min(kLongestRetry, kFirstRetry * (1U << doublings));
+  if (aWorker.mUnanswered == 1) {
+    EventLine(mLog, "worker-unanswered")
+      .With("worker", aWorker.Report().mBoot.mId)
+      .With("runs", std::uint64_t{ aWorker.Runs().size() });
+  }
+}
+
+void
+Coordinator::TakeEnds(WorkerSession& aWorker,
+                      const std::vector<ListedEnd>& aEnds)
+{
+  for (const ListedEnd& end : aEnds) {
+    if (end.mNumber <= aWorker.mProcessedEnds) {
+      continue;
+    }
+    if (aWorker.mProcessedEnds == aWorker.mAcknowledgedEnds) {
+      aWorker.mEndsSince = mClock.MonotonicNow();
+    }
+    aWorker.mProcessedEnds = end.mNumber;
+    TakeEnd(aWorker, end);
+  }
+}
+
+void
+Coordinator::TakeEnd(WorkerSession& aWorker, const ListedEnd& aEnd)
+{
+  const TaskId& id = aEnd.mRun.mTask;
+  const LedgerRun* run = aWorker.Find(id);
+  const bool present = run != nullptr && run->mNumber == aEnd.mRun.mNumber;
+  const bool wasStopping = present && run->mPhase == RunPhase::Stopping;
+  if (present) {
+    aWorker.Remove(id);
+  }
+  EventLine(mLog, "run-end")
+    .With("job", id.mJob)
+    .With("step", id.mStep)
+    .With("task", id.mIndex)
+    .With("run", aEnd.mRun.mNumber)
+    .With("worker", aWorker.Report().mBoot.mId)
+    .With("how", NameOf(aEnd.mEnd))
+    .With("known", present);
+  const TimePoint now = mClock.MonotonicNow();
+  mCounters.mRunsDone += aEnd.mEnd == RunEnd::Done ? 1 : 0;
+  mCounters.mRunsFailed += aEnd.mEnd == RunEnd::Failed ? 1 : 0;
+  if (aEnd.mEnd == RunEnd::Done) {
+    aWorker.mHealth.RunSucceeded();
+  } else if (aEnd.mEnd == RunEnd::Failed) {
+    aWorker.mHealth.RunFailed(now);
+  }
+  DispatchJob* job = FindJob(id.mJob);
+  DispatchTask* task = job == nullptr ? nullptr : job->Task(id);
+  if (task == nullptr) {
+    if (aEnd.mEnd == RunEnd::Done) {
+      mEarlyEnds[id] = { aEnd.mEnd, now };
+    }
+    return;
+  }
+  if (!aEnd.mCheckpoint.empty()) {
+    task->mCheckpoint = aEnd.mCheckpoint;
+  }
+  if (aEnd.mEnd == RunEnd::Done) {
+    const auto other = mWorkers.find(task->mWorker);
+    if (!present && task->mPhase == TaskPhase::Assigned &&
+        other != mWorkers.end()) {
+      // An earlier run that had been given up has ended well after all.
+      if (LedgerRun* second = other->second.Find(id)) {
+        StopRun(other->second, id, *second);
+      }
+    }
+    FinishTask(*job, id);
+    return;
+  }
+  const bool ours = present && task->mPhase == TaskPhase::Assigned &&
+                    task->mWorker == aWorker.Report().mBoot.mId;
+  if (!ours) {
+    return;
+  }
+  if (aEnd.mEnd == RunEnd::Failed && !wasStopping) {
+    FailTask(*job, id);
+    return;
+  }
+  RequeueTask(*job, *task);
+}
+
+void
+Coordinator::TakeRunning(WorkerSession& aWorker,
+                         const std::vector<ListedRun>& aRunning)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  for (const ListedRun& listed : aRunning) {
+    LedgerRun* run = aWorker.Find(listed.mRun.mTask);
+    if (run == nullptr || run->mNumber != listed.mRun.mNumber) {
+      TakeUnknownRun(aWorker, listed);
+      continue;
+    }
+    if (run->mPhase == RunPhase::Starting) {
+      run->mPhase = RunPhase::Running;
+    }
+    run->mPercent = listed.mPercent;
+    run->mPercentAt = now;
+  }
+}
+
+void
+Coordinator::TakeUnknownRun(WorkerSession& aWorker, const ListedRun& aRun)
+{
+  const TaskId& id = aRun.mRun.mTask;
+  const LedgerRun* known = aWorker.Find(id);
+  if (known != nullptr && known->mNumber > aRun.mRun.mNumber) {
+    return;
+  }
+  LedgerRun run;
+  run.mNumber = aRun.mRun.mNumber;
+  run.mPhase = RunPhase::Running;
+  run.mOrphan = true;
+  run.mSentAt = mClock.MonotonicNow();
+  run.mPercent = aRun.mPercent;
+  run.mPercentAt = run.mSentAt;
+  run.mLastBlindHold = aWorker.mHoldsSent;
+  aWorker.Remove(id);
+  aWorker.Add(id, run);
+  EventLine(mLog, "run-found")
+    .With("job", id.mJob)
+    .With("step", id.mStep)
+    .With("task", id.mIndex)
+    .With("run", run.mNumber)
+    .With("worker", aWorker.Report().mBoot.mId)
+    .With("percent", run.mPercent);
+  DispatchJob* job = FindJob(id.mJob);
+  if (job == nullptr) {
+    return;
+  }
+  DispatchTask* task = job->Task(id);
+  if (task != nullptr && task->mPhase == TaskPhase::Ready) {
+    ClaimOrphans(*job);
+    return;
+  }
+  // It is done, or runs elsewhere.
+  if (task != nullptr) {
+    aWorker.SetNeeds(*aWorker.Find(id), job->Step(id).mNeeds);
+  }
+  StopRun(aWorker, id, *aWorker.Find(id));
+}
+
+void
+Coordinator::DropMissing(WorkerSession& aWorker,
+                         std::uint64_t aHold,
+                         const std::vector<ListedRun>& aRunning)
+{
+  std::set<std::pair<TaskId, RunNumber>> listed;
+  for (const ListedRun& run : aRunning) {
+    listed.emplace(run.mRun.mTask, run.mRun.mNumber);
+  }
+  std::vector<TaskId> missing;
+  for (const auto& [task, run] : aWorker.Runs()) {
+    const bool settled = run.mPhase == RunPhase::Running || run.mStopConfirmed;
+    if (settled && aHold > run.mLastBlindHold &&
+        listed.count({ task, run.mNumber }) == 0) {
+      missing.push_back(task);
+    }
+  }
+  for (const TaskId& task : missing) {
+    LoseRun(aWorker, task, "not in the worker's list");
+  }
+}
+
+void
+Coordinator::LapseIfDue(WorkerSession& aWorker, TimePoint aNow)
+{
+  if (aWorker.Runs().empty() || !aWorker.HasLapsed(aNow) ||
+      !aWorker.IsClockKnown()) {
+    return;
+  }
+  while (!aWorker.Runs().empty()) {
+    LoseRun(aWorker, aWorker.Runs().begin()->first, "its lease has ended");
+  }
+}
+
+void
+Coordinator::StopUnclaimed(TimePoint aNow)
+{
+  if (aNow - mLeadSince < kClaimTime) {
+    return;
+  }
+  for (auto& [id, worker] : mWorkers) {
+    if (worker.mOrphans == 0) {
+      continue;
+    }
+    for (auto& [task, run] : worker.Runs()) {
+      if (run.mOrphan && run.mPhase == RunPhase::Running) {
+        StopRun(worker, task, run);
+      }
+    }
+  }
+}
+
+void
+Coordinator::TrySettle(TimePoint aNow)
+{
+  if (mSettled) {
+    return;
+  }
+  const milliseconds bound = mOptions.mMaxHold * kLapsePercent / kWhole;
+  const bool lapsed = aNow - mLeadSince >= bound;
+  const bool allRead =
+    mReportsComplete &&
+    std::all_of(mWorkers.begin(), mWorkers.end(), [](const auto& aEntry) {
+      return aEntry.second.mFenced;
+    });
+  if (!lapsed && !allRead) {
+    return;
+  }
+  mSettled = true;
+  EventLine(mLog, "lead-settled")
+    .With("fence", mFence)
+    .With(
+      "after_ms",
+      std::int64_t{
+        std::chrono::duration_cast<milliseconds>(aNow - mLeadSince).count() })
+    .With("all_read", allRead)
+    .With("workers", std::uint64_t{ mWorkers.size() });
+  Schedule();
+}
+
+}
--- /dev/null
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -0,0 +1,320 @@
+// Jobs and their tasks: what is ready, what has ended, what gets room next.
+#include "Dispatch/Coordinator.h"
+
+#include <algorithm>
+
+namespace almondspoke::dispatch {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/** A best-effort job is given up after so many times its objective, when its
+ * result is of no use any more. */
+constexpr int kUselessAfterObjectives = 3;
+
+/** Time for which the end of an earlier leader's run is kept for its job to be
+ * handed in again: longer than callers take to repeat. */
+constexpr milliseconds kEarlyEndKept{ 5000 };
+
+constexpr milliseconds kSweepInterval{ 250 };
+
+std::int64_t
+MillisecondsBetween(Clock::Monotonic aFrom, Clock::Monotonic aTo)
+{
+  return duration_cast<milliseconds>(aTo - aFrom).count();
+}
+
+}
+
+DispatchJob*
+Coordinator::FindJob(const JobId& aId)
+{
+  const auto job = mJobs.find(aId);
+  return job == mJobs.end() ? nullptr : job->second.get();
+}
+
+void
+Coordinator::MakeReady(DispatchJob& aJob, std::uint32_t aStep)
+{
+  for (DispatchTask& task : aJob.mSteps[aStep]) {
+    if (task.mPhase == TaskPhase::Blocked) {
+      task.mPhase = TaskPhase::Ready;
+      ++aJob.mReadyTasks;
+    }
+  }
+  if (aJob.mReadyTasks > 0 && !aJob.mAbandoned) {
+    mReady.emplace(OrderOf(aJob), aJob.mSubmission.mId);
+  }
+}
+
+void
+Coordinator::ReleaseTask(DispatchJob& aJob,
+                         DispatchTask& aTask,
+                         TaskPhase aNext)
+{
+  aJob.mAssignedTasks -= aTask.mPhase == TaskPhase::Assigned ? 1 : 0;
+  aJob.mReadyTasks -= aTask.mPhase == TaskPhase::Ready ? 1 : 0;
+  aTask.mPhase = aNext;
+  aTask.mWorker.clear();
+}
+
+void
+Coordinator::RequeueTask(DispatchJob& aJob, DispatchTask& aTask)
+{
+  if (aTask.mPhase != TaskPhase::Assigned) {
+    return;
+  }
+  if (!aTask.mWorker.empty()) {
+    aTask.mAvoided.push_back(aTask.mWorker);
+  }
+  ReleaseTask(aJob, aTask, TaskPhase::Ready);
+  ++aJob.mReadyTasks;
+  if (!aJob.HasEnded() && !aJob.mAbandoned) {
+    mReady.emplace(OrderOf(aJob), aJob.mSubmission.mId);
+  }
+}
+
+void
+Coordinator::FinishTask(DispatchJob& aJob, const TaskId& aTask)
+{
+  DispatchTask& task = *aJob.Task(aTask);
+  if (task.mPhase == TaskPhase::Done) {
+    return;
+  }
+  ReleaseTask(aJob, task, TaskPhase::Done);
+  aJob.mStarted = true;
+  if (--aJob.mOpenTasks[aTask.mStep] > 0 || aJob.HasEnded()) {
+    return;
+  }
+  const auto isDone = [&](std::uint32_t aStep) {
+    return aJob.mOpenTasks[aStep] == 0;
+  };
+  bool all = true;
+  for (std::uint32_t step = 0; step < aJob.mSteps.size(); ++step) {
+    all = all && isDone(step);
+    const auto& after = aJob.mSubmission.mSteps[step].mAfter;
+    const bool due =
+      std::find(after.begin(), after.end(), aTask.mStep) != after.end() &&
+      std::all_of(after.begin(), after.end(), isDone);
+    if (due) {
+      MakeReady(aJob, step);
+    }
+  }
+  if (all) {
+    EndJob(aJob, JobState::Completed);
+  }
+}
+
+void
+Coordinator::FailTask(DispatchJob& aJob, const TaskId& aTask)
+{
+  DispatchTask& task = *aJob.Task(aTask);
+  if (task.mPhase == TaskPhase::Done) {
+    return;
+  }
+  ++task.mFailures;
+  RequeueTask(aJob, task);
+  if (task.mFailures < aJob.mQueue.mMaxAttempts || aJob.HasEnded()) {
+    return;
+  }
+  StopRunsOf(aJob);
+  EndJob(aJob, JobState::Failed);
+}
+
+void
+Coordinator::EndJob(DispatchJob& aJob, JobState aState)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  aJob.mState = aState;
+  aJob.mEnded = now;
+  mReady.erase({ OrderOf(aJob), aJob.mSubmission.mId });
+  mCounters.mCompleted += aState == JobState::Completed ? 1 : 0;
+  mCounters.mFailed += aState == JobState::Failed ? 1 : 0;
+  EventLine(mLog, "job-ended")
+    .With("job", aJob.mSubmission.mId)
+    .With("queue", aJob.mQueue.mName)
+    .With("state", NameOf(aState))
+    .With("after_ms", MillisecondsBetween(aJob.mArrived, now))
+    .With("objective_ms", MillisecondsBetween(aJob.mArrived, aJob.mObjective))
+    .With("waiters", std::uint64_t{ aJob.mWaiters.size() });
+  JobReply reply;
+  reply.mKind = JobReplyKind::Accepted;
+  reply.mState = aState;
+  ReplyAll(aJob, reply);
+}
+
+void
+Coordinator::DropWaitingTasks(DispatchJob& aJob)
+{
+  aJob.mAbandoned = true;
+  mReady.erase({ OrderOf(aJob), aJob.mSubmission.mId });
+}
+
+void
+Coordinator::StopRunsOf(const DispatchJob& aJob)
+{
+  for (std::uint32_t step = 0; step < aJob.mSteps.size(); ++step) {
+    for (std::uint32_t index = 0; index < aJob.mSteps[step].size(); ++index) {
+      const DispatchTask& task = aJob.mSteps[step][index];
+      const auto worker = mWorkers.find(task.mWorker);
+      if (task.mPhase != TaskPhase::Assigned || worker == mWorkers.end()) {
+        continue;
+      }
+      const TaskId id{ aJob.mSubmission.mId, 0, step, index };
+      if (LedgerRun* run = worker->second.Find(id)) {
+        StopRun(worker->second, id, *run);
+      }
+    }
+  }
+}
+
+void
+Coordinator::ClaimOrphans(DispatchJob& aJob)
+{
+  const TaskId first{ aJob.mSubmission.mId, 0, 0, 0 };
+  for (auto& [id, worker] : mWorkers) {
+    auto& runs = worker.Runs();
+    for (auto entry = runs.lower_bound(first);
+         entry != runs.end() && entry->first.mJob == first.mJob;
+         ++entry) {
+      DispatchTask* task = aJob.Task(entry->first);
+      LedgerRun& run = entry->second;
+      if (task == nullptr || task->mPhase != TaskPhase::Ready) {
+        continue;
+      }
+      worker.SetNeeds(run, aJob.Step(entry->first).mNeeds);
+      ReleaseTask(aJob, *task, TaskPhase::Assigned);
+      ++aJob.mAssignedTasks;
+      task->mWorker = id;
+      task->mLastRun = run.mNumber;
+      aJob.mStarted = true;
+      aJob.mState = JobState::Running;
+      EventLine(mLog, "run-claimed")
+        .With("job", entry->first.mJob)
+        .With("step", entry->first.mStep)
+        .With("task", entry->first.mIndex)
+        .With("run", run.mNumber)
+        .With("worker", id);
+    }
+  }
+  for (auto entry = mEarlyEnds.lower_bound(first);
+       entry != mEarlyEnds.end() && entry->first.mJob == first.mJob &&
+       !aJob.HasEnded();) {
+    const TaskId task = entry->first;
+    const bool done = entry->second.mEnd == RunEnd::Done;
+    entry = mEarlyEnds.erase(entry);
+    if (done && aJob.Task(task) != nullptr) {
+      FinishTask(aJob, task);
+    }
+  }
+}
+
+void
+Coordinator::Schedule()
+{
+  if (!mSettled || mReady.empty()) {
+    return;
+  }
+  std::map<PoolName, Resources> full;
+  const auto ready = mReady;
+  for (const auto& [order, id] : ready) {
+    if (DispatchJob* job = FindJob(id)) {
+      ScheduleJob(*job, full);
+    }
+  }
+}
+
+void
+Coordinator::ScheduleJob(DispatchJob& aJob,
+                         std::map<PoolName, Resources>& aFull)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  for (std::uint32_t step = 0; step < aJob.mSteps.size(); ++step) {
+    const StepSpec& spec = aJob.mSubmission.mSteps[step];
+    for (std::uint32_t index = 0; index < aJob.mSteps[step].size(); ++index) {
+      if (aJob.mSteps[step][index].mPhase != TaskPhase::Ready) {
+        continue;
+      }
+      // What did not find room a moment ago leaves none for as much or more.
+      const auto full = aFull.find(aJob.mQueue.mPool);
+      if (full != aFull.end() && full->second.FitsInto(spec.mNeeds)) {
+        break;
+      }
+      const TaskId task{ aJob.mSubmission.mId, 0, step, index };
+      WorkerSession* worker =
+        Placement::Choose(mWorkers, aJob, task, now, false);
+      if (worker == nullptr) {
+        if (spec.mRequiredLabel.empty() && spec.mMaxPerWorker == 0) {
+          aFull[aJob.mQueue.mPool] = spec.mNeeds;
+        }
+        break;
+      }
+      StartRun(aJob, task, *worker);
+    }
+  }
+  if (aJob.mReadyTasks == 0) {
+    mReady.erase({ OrderOf(aJob), aJob.mSubmission.mId });
+  }
+}
+
+void
+Coordinator::EnforcePatience(TimePoint aNow)
+{
+  std::vector<DispatchJob*> refused;
+  std::vector<DispatchJob*> useless;
+  for (const auto& [order, id] : mReady) {
+    DispatchJob& job = *mJobs.at(id);
+    const auto waited = aNow - job.mArrived;
+    const bool untouched = !job.mStarted && !job.mMayHaveRun;
+    if (untouched && waited > Admission::PatienceOf(job)) {
+      refused.push_back(&job);
+    } else if (waited >
+               (job.mObjective - job.mArrived) * kUselessAfterObjectives) {
+      useless.push_back(&job);
+    }
+  }
+  for (DispatchJob* job : refused) {
+    Refuse(*job, mSettled ? "no room in time" : "earlier work is still read");
+  }
+  for (DispatchJob* job : useless) {
+    ++mCounters.mGivenUp;
+    EventLine(mLog, "job-given-up")
+      .With("job", job->mSubmission.mId)
+      .With("queue", job->mQueue.mName)
+      .With("after_ms", MillisecondsBetween(job->mArrived, aNow))
+      .With("open_runs", std::uint64_t{ job->mAssignedTasks });
+    DropWaitingTasks(*job);
+    JobReply reply;
+    reply.mKind = JobReplyKind::Unknown;
+    reply.mMessage = "the job ran in part and did not end in time";
+    ReplyAll(*job, reply);
+  }
+}
+
+void
+Coordinator::ForgetEnded(TimePoint aNow)
+{
+  if (aNow < mNextSweep) {
+    return;
+  }
+  mNextSweep = aNow + kSweepInterval;
+  for (auto entry = mJobs.begin(); entry != mJobs.end();) {
+    const DispatchJob& job = *entry->second;
+    const bool ended =
+      job.HasEnded() && aNow - job.mEnded > mOptions.mResultsKept;
+    const bool abandoned = job.mAbandoned && !job.HasEnded();
+    if (job.mAssignedTasks == 0 && (ended || abandoned)) {
+      entry = mJobs.erase(entry);
+      continue;
+    }
+    ++entry;
+  }
+  for (auto entry = mEarlyEnds.begin(); entry != mEarlyEnds.end();) {
+    const bool old = aNow - entry->second.mAt > kEarlyEndKept;
+    entry = old ? mEarlyEnds.erase(entry) : std::next(entry);
+  }
+}
+
+}
--- /dev/null
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -0,0 +1,342 @@
+// Orders to start and to stop runs, and their answers.
+#include "Dispatch/Coordinator.h"
+
+#include <algorithm>
+
+namespace almondspoke::dispatch {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/** Run numbers that each leader has for itself, so that the numbers of a task
+ * rise over leaders that know nothing of each other's starts. */
+constexpr RunNumber kNumbersOfLeader = 1000;
+
+/** Fence of the first leader of an installation: its group is founded in term
+ * 1 and elects in term 2. */
+constexpr Fence kFirstFence = 2;
+
+/** Numbers that are skipped after a worker refused one as superseded. */
+constexpr RunNumber kNumbersSkipped = 16;
+
+/** Pause between two attempts to order the same stop. */
+constexpr milliseconds kStopRetry{ 100 };
+
+/** A run counts as a straggler if its rate of progress leads to more than so
+ * many times its expected duration, and this much more. */
+constexpr int kStragglerFactor = 3;
+constexpr milliseconds kStragglerSlack{ 100 };
+
+}
+
+OrderTarget
+Coordinator::TargetOf(const WorkerSession& aWorker) const
+{
+  const WorkerReport& report = aWorker.Report();
+  OrderTarget target;
+  target.mBoot = report.mBoot;
+  target.mAddress = report.mAddress;
+  target.mFence = mFence;
+  if (mManifest) {
+    const Pool* pool = FindPool(*mManifest, report.mPool);
+    target.mMaxConnections =
+      pool != nullptr ? pool->mMaxConnections : target.mMaxConnections;
+  }
+  return target;
+}
+
+RunNumber
+Coordinator::NextRun(DispatchTask& aTask) const
+{
+  const RunNumber before =
+    mFence > kFirstFence ? (mFence - kFirstFence) * kNumbersOfLeader : 0;
+  aTask.mLastRun = std::max(aTask.mLastRun, before) + 1;
+  return aTask.mLastRun;
+}
+
+void
+Coordinator::StartRun(DispatchJob& aJob,
+                      const TaskId& aTask,
+                      WorkerSession& aWorker)
+{
+  DispatchTask& task = *aJob.Task(aTask);
+  const StepSpec& step = aJob.Step(aTask);
+  const TimePoint now = mClock.MonotonicNow();
+  StartOrder order;
+  order.mTarget = TargetOf(aWorker);
+  order.mRun = { aTask, NextRun(task) };
+  order.mPayload = aJob.mSubmission.mPayload;
+  order.mCheckpoint = task.mCheckpoint;
+  order.mLeaseUntil = aWorker.GrantLease(now);
+
+  LedgerRun run;
+  run.mNumber = order.mRun.mNumber;
+  run.mNeeds = step.mNeeds;
+  run.mSentAt = now;
+  run.mPercentAt = now;
+  run.mLastBlindHold = aWorker.mHoldsSent;
+  aWorker.Add(aTask, run);
+
+  ReleaseTask(aJob, task, TaskPhase::Assigned);
+  ++aJob.mAssignedTasks;
+  task.mWorker = aWorker.Report().mBoot.mId;
+  if (!aJob.mStarted) {
+    aJob.mStarted = true;
+    aJob.mState = JobState::Running;
+  }
+  ++mCounters.mStarts;
+  EventLine(mLog, "run-start")
+    .With("job", aTask.mJob)
+    .With("step", aTask.mStep)
+    .With("task", aTask.mIndex)
+    .With("run", run.mNumber)
+    .With("worker", task.mWorker)
+    .With(
+      "waited_ms",
+      std::int64_t{ duration_cast<milliseconds>(now - aJob.mArrived).count() })
+    .With("free_mcores", aWorker.Free().mMilliCores);
+  mCalls.Start(
+    order,
+    mOptions.mOrderTimeout,
+    [this, fence = mFence, boot = order.mTarget.mBoot, started = order.mRun](
+      const OrderResult& aResult) {
+      if (mLeading && fence == mFence) {
+        OnStarted(boot, started, aResult);
+      }
+    });
+}
+
+void
+Coordinator::OnStarted(const WorkerBoot& aBoot,
+                       const RunId& aRun,
+                       const OrderResult& aResult)
+{
+  WorkerSession* worker = SessionOf(aBoot);
+  if (worker == nullptr) {
+    return;
+  }
+  if (aResult.mClock > 0) {
+    worker->ObserveClock(aResult.mClock, mClock.MonotonicNow());
+  }
+  LedgerRun* run = worker->Find(aRun.mTask);
+  if (run == nullptr || run->mNumber != aRun.mNumber) {
+    return;
+  }
+  if (aResult.mOutcome != OrderOutcome::Done) {
+    OnStartRefused(*worker, aRun, aResult.mOutcome);
+    return;
+  }
+  run->mLastBlindHold = worker->mHoldsSent;
+  if (run->mPhase == RunPhase::Starting) {
+    run->mPhase = RunPhase::Running;
+  }
+  Hold(*worker, false);
+}
+
+void
+Coordinator::OnStartRefused(WorkerSession& aWorker,
+                            const RunId& aRun,
+                            OrderOutcome aOutcome)
+{
+  LedgerRun& run = *aWorker.Find(aRun.mTask);
+  const WorkerId id = aWorker.Report().mBoot.mId;
+  EventLine(mLog, "run-start-failed")
+    .With("job", aRun.mTask.mJob)
+    .With("step", aRun.mTask.mStep)
+    .With("task", aRun.mTask.mIndex)
+    .With("run", aRun.mNumber)
+    .With("worker", id)
+    .With("outcome", NameOf(aOutcome));
+  if (aOutcome == OrderOutcome::OtherBoot) {
+    EndSession(id, "another boot answers at its address");
+    return;
+  }
+  if (aOutcome == OrderOutcome::Unknown || aOutcome == OrderOutcome::Failed) {
+    ++mCounters.mUnansweredOrders;
+    if (run.mPhase == RunPhase::Starting) {
+      run.mPhase = RunPhase::Doubtful;
+    }
+    StopRun(aWorker, aRun.mTask, run);
+    return;
+  }
+  DispatchJob* job = FindJob(aRun.mTask.mJob);
+  if (job != nullptr && aOutcome == OrderOutcome::Superseded) {
+    job->Task(aRun.mTask)->mLastRun += kNumbersSkipped;
+  }
+  if (aOutcome == OrderOutcome::Unhealthy) {
+    aWorker.mHealth.RunFailed(mClock.MonotonicNow());
+  }
+  if (aOutcome == OrderOutcome::NotSent) {
+    OnUnanswered(aWorker);
+  }
+  const bool reread = aOutcome == OrderOutcome::Late ||
+                      aOutcome == OrderOutcome::NoRoom ||
+                      aOutcome == OrderOutcome::Fenced;
+  if (reread) {
+    // What was believed of its clock, its runs or its fence is wrong.
+    aWorker.mFenced = false;
+    aWorker.mNextHold = {};
+  }
+  LoseRun(aWorker, aRun.mTask, "not started");
+}
+
+void
+Coordinator::StopRun(WorkerSession& aWorker,
+                     const TaskId& aTask,
+                     LedgerRun& aRun)
+{
+  if (aRun.mStopInFlight || aRun.mStopConfirmed) {
+    return;
+  }
+  if (aRun.mPhase != RunPhase::Doubtful) {
+    aRun.mPhase = RunPhase::Stopping;
+  }
+  aRun.mStopInFlight = true;
+  aRun.mSentAt = mClock.MonotonicNow();
+  ++mCounters.mStops;
+  StopOrder order;
+  order.mTarget = TargetOf(aWorker);
+  order.mRun = { aTask, aRun.mNumber };
+  EventLine(mLog, "run-stop")
+    .With("job", aTask.mJob)
+    .With("step", aTask.mStep)
+    .With("task", aTask.mIndex)
+    .With("run", aRun.mNumber)
+    .With("worker", order.mTarget.mBoot.mId);
+  mCalls.Stop(
+    order,
+    mOptions.mOrderTimeout,
+    [this, fence = mFence, boot = order.mTarget.mBoot, stopped = order.mRun](
+      const OrderResult& aResult) {
+      if (mLeading && fence == mFence) {
+        OnStopped(boot, stopped, aResult);
+      }
+    });
+}
+
+void
+Coordinator::OnStopped(const WorkerBoot& aBoot,
+                       const RunId& aRun,
+                       const OrderResult& aResult)
+{
+  WorkerSession* worker = SessionOf(aBoot);
+  if (worker == nullptr) {
+    return;
+  }
+  if (aResult.mClock > 0) {
+    worker->ObserveClock(aResult.mClock, mClock.MonotonicNow());
+  }
+  if (aResult.mOutcome == OrderOutcome::OtherBoot) {
+    EndSession(aBoot.mId, "another boot answers at its address");
+    return;
+  }
+  LedgerRun* run = worker->Find(aRun.mTask);
+  if (run == nullptr || run->mNumber != aRun.mNumber) {
+    return;
+  }
+  run->mStopInFlight = false;
+  run->mSentAt = mClock.MonotonicNow();
+  const bool confirmed = aResult.mOutcome == OrderOutcome::Done ||
+                         aResult.mOutcome == OrderOutcome::Superseded;
+  if (!confirmed) {
+    return;
+  }
+  run->mStopConfirmed = true;
+  run->mLastBlindHold = worker->mHoldsSent;
+  Hold(*worker, true);
+}
+
+void
+Coordinator::RetryStops(WorkerSession& aWorker)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  for (auto& [task, run] : aWorker.Runs()) {
+    const bool stopping =
+      run.mPhase == RunPhase::Stopping || run.mPhase == RunPhase::Doubtful;
+    const bool due = stopping && !run.mStopConfirmed && !run.mStopInFlight &&
+                     now - run.mSentAt >= kStopRetry;
+    if (due) {
+      StopRun(aWorker, task, run);
+    }
+  }
+}
+
+void
+Coordinator::LoseRun(WorkerSession& aWorker,
+                     const TaskId& aTask,
+                     const char* aWhy)
+{
+  const LedgerRun* run = aWorker.Find(aTask);
+  const RunNumber number = run->mNumber;
+  const bool orphan = run->mOrphan;
+  aWorker.Remove(aTask);
+  ++mCounters.mRunsLost;
+  EventLine(mLog, "run-lost")
+    .With("job", aTask.mJob)
+    .With("step", aTask.mStep)
+    .With("task", aTask.mIndex)
+    .With("run", number)
+    .With("worker", aWorker.Report().mBoot.mId)
+    .With("reason", aWhy);
+  DispatchJob* job = FindJob(aTask.mJob);
+  DispatchTask* task = job == nullptr ? nullptr : job->Task(aTask);
+  const bool ours = !orphan && task != nullptr &&
+                    task->mPhase == TaskPhase::Assigned &&
+                    task->mWorker == aWorker.Report().mBoot.mId;
+  if (ours) {
+    RequeueTask(*job, *task);
+  }
+}
+
+bool
+Coordinator::IsStraggler(const DispatchJob& aJob,
+                         const TaskId& aTask,
+                         const LedgerRun& aRun,
+                         TimePoint aNow) const
+{
+  if (aRun.mPhase != RunPhase::Running || aRun.mOrphan) {
+    return false;
+  }
+  const milliseconds expected(aJob.Step(aTask).mEstimateMs);
+  const milliseconds bound = expected * kStragglerFactor + kStragglerSlack;
+  const auto ran = aNow - aRun.mSentAt;
+  if (ran < bound / 2 || aRun.mPercentAt < aRun.mSentAt + bound / 3) {
+    return false;
+  }
+  constexpr int kWhole = 100;
+  const auto seen = aRun.mPercentAt - aRun.mSentAt;
+  const auto whole = seen * kWhole / std::max<int>(1, aRun.mPercent);
+  return whole > bound && whole - ran > expected + kStragglerSlack;
+}
+
+void
+Coordinator::StopStragglers(WorkerSession& aWorker, TimePoint aNow)
+{
+  if (aWorker.mUnanswered > 0) {
+    return;
+  }
+  for (auto& [task, run] : aWorker.Runs()) {
+    const DispatchJob* job = FindJob(task.mJob);
+    if (job == nullptr || !IsStraggler(*job, task, run, aNow)) {
+      continue;
+    }
+    ++mCounters.mStragglers;
+    EventLine(mLog, "run-too-slow")
+      .With("job", task.mJob)
+      .With("step", task.mStep)
+      .With("task", task.mIndex)
+      .With("run", run.mNumber)
+      .With("worker", aWorker.Report().mBoot.mId)
+      .With(
+        "ran_ms",
+        std::int64_t{ duration_cast<milliseconds>(aNow - run.mSentAt).count() })
+      .With("percent", run.mPercent)
+      .With("expected_ms", job->Step(task).mEstimateMs);
+    aWorker.mHealth.RunFailed(aNow);
+    StopRun(aWorker, task, run);
+  }
+}
+
+}
--- /dev/null
+++ b/Source/Dispatch/DispatchStateMachine.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "Consensus/StateMachine.h"
+#include "Dispatch/Manifest.h"
+
+namespace almondspoke::dispatch {
+
+/** \brief What the instances that can lead agree on: the manifest in force.
+ *
+ * A manifest takes the place of the one before if its version is higher; any
+ * other changes nothing. Apply() is called on the group's thread, Current()
+ * from any. */
+class DispatchStateMachine : public StateMachine
+{
+public:
+  using Observer = std::function<void(std::shared_ptr<const Manifest>)>;
+
+  /** \param aObserver called on the group's thread with each new manifest */
+  explicit DispatchStateMachine(Observer aObserver);
+
+  static std::string CommandOf(const Manifest& aManifest);
+
+  std::string Apply(LogIndex aIndex, std::string_view aCommand) override;
+  std::string TakeSnapshot() const override;
+  Result<void> RestoreSnapshot(std::string_view aSnapshot) override;
+
+  /** The manifest in force, or null before the first. */
+  std::shared_ptr<const Manifest> Current() const;
+
+private:
+  void Replace(std::shared_ptr<const Manifest> aManifest);
+
+  const Observer mObserver;
+  mutable std::mutex mMutex;
+  std::shared_ptr<const Manifest> mManifest;
+};
+
+}
--- /dev/null
+++ b/Source/Dispatch/GatewayNode.cxx
@@ -0,0 +1,55 @@
+#include "Dispatch/GatewayNode.h"
+
+#include "Dispatch/PeerNames.h"
+
+namespace almondspoke::dispatch {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{ 15 };
+
+}
+
+GatewayNode::GatewayNode(const NodeSettings& aSettings,
+                         const GatewayNodeParts& aParts)
+  : mLog(aParts.mLog)
+  , mTimer(aParts.mContext)
+  , mFinder(aParts.mClock, aParts.mRpc, aParts.mLog, SeedNamesOf(aSettings))
+  , mGateway(aParts.mClock, aParts.mRpc, mFinder, aParts.mLog)
+{
+}
+
+void
+GatewayNode::Start()
+{
+  ScheduleTick();
+}
+
+void
+GatewayNode::StartDraining()
+{
+  mDraining = true;
+}
+
+void
+GatewayNode::AddSeeds(const NodeSettings& aSettings)
+{
+  mFinder.AddSeeds(SeedNamesOf(aSettings));
+}
+
+void
+GatewayNode::ScheduleTick()
+{
+  mTimer.expires_after(kTick);
+  mTimer.async_wait([this](const asio::error_code& aError) {
+    if (aError) {
+      return;
+    }
+    mFinder.Tick();
+    mGateway.Tick();
+    mLog.Flush();
+    ScheduleTick();
+  });
+}
+
+}
--- /dev/null
+++ b/Source/Dispatch/LeaderFinder.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Base/EventLog.h"
+#include "Base/InstanceIdentity.h"
+#include "Base/Result.h"
+#include "Dispatch/JobMessages.h"
+#include "Transport/PeerRpc.h"
+
+namespace almondspoke::dispatch {
+
+/** \brief Knows who leads, by asking the instances that can.
+ *
+ * Asks the leader from time to time, and all others as soon as it is in doubt.
+ * Learns of further instances from the answers. Not thread-safe. */
+class LeaderFinder
+{
+public:
+  using TimePoint = Clock::Monotonic;
+
+  /** \param aSeeds instances to begin with */
+  LeaderFinder(const Clock& aClock,
+               PeerRpc& aRpc,
+               EventLog& aLog,
+               const std::vector<InstanceName>& aSeeds);
+
+  /** The leader, while it has answered of late. */
+  std::optional<InstanceName> Leader() const;
+
+  /** A call to the leader has failed: it is asked anew, with all others. */
+  void Doubt(const InstanceName& aLeader);
+
+  /** Adds instances to ask, as from changed settings. */
+  void AddSeeds(const std::vector<InstanceName>& aSeeds);
+
+  void Tick();
+
+private:
+  void Ask(const InstanceName& aInstance);
+  void OnAnswer(const InstanceName& aFrom, const Result<std::string>& aAnswer);
+  void TakeStatus(const InstanceName& aFrom, const LeaderStatus& aStatus);
+
+  const Clock& mClock;
+  PeerRpc& mRpc;
+  EventLog& mLog;
+  std::set<InstanceName> mInstances;
+  /** Instances with an unanswered question. */
+  std::set<InstanceName> mAsked;
+  std::optional<InstanceName> mLeader;
+  std::uint64_t mTerm = 0;
+  TimePoint mHeard{};
+  TimePoint mNextAsk{};
+  bool mInDoubt = true;
+};
+
+}
--- /dev/null
+++ b/Source/Dispatch/NodeSettings.cxx
@@ -0,0 +1,240 @@
+#include "Dispatch/NodeSettings.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "Base/IniFile.h"
+
+namespace almondspoke::dispatch {
+
+namespace {
+
+constexpr std::string_view kSection = "node";
+constexpr std::uint32_t kMaxPort = 65535;
+constexpr std::uint32_t kMaxLosses = 4;
+constexpr std::uint32_t kMaxMilliseconds = 600'000;
+
+std::vector<std::string>
+SplitList(std::string_view aText)
+{
+  std::vector<std::string> parts;
+  while (!aText.empty()) {
+    const std::size_t comma = std::min(aText.find(','), aText.size());
+    std::string_view part = aText.substr(0, comma);
+    const std::size_t first = part.find_first_not_of(' ');
+    const std::size_t last = part.find_last_not_of(' ');
+    if (first != std::string_view::npos) {
+      parts.emplace_back(part.substr(first, last - first + 1));
+    }
+    aText.remove_prefix(std::min(comma + 1, aText.size()));
+  }
+  return parts;
+}
+
+/** \brief Sets fields of NodeSettings from INI entries. */
+class Reader
+{
+public:
+  explicit Reader(const std::string& aPath)
+    : mPath(aPath)
+  {
+  }
+
+  Result<void> Read(const IniEntry& aEntry)
+  {
+    using Set = Result<void> (Reader::*)(const IniEntry&);
+    struct Row
+    {
+      std::string_view mKey;
+      Set mSet;
+    };
+    static constexpr std::array<Row, 16> kRows = { {
+      { "role", &Reader::SetRole },
+      { "name", &Reader::SetText<&NodeSettings::mName> },
+      { "data-centre", &Reader::SetText<&NodeSettings::mDataCentre> },
+      { "address", &Reader::SetText<&NodeSettings::mAddress> },
+      { "peer-port", &Reader::SetPort },
+      { "seeds", &Reader::SetSeeds },
+      { "callers", &Reader::SetText<&NodeSettings::mCallers> },
+      { "readiness", &Reader::SetText<&NodeSettings::mReadiness> },
+      { "control", &Reader::SetText<&NodeSettings::mControl> },
+      { "metrics", &Reader::SetText<&NodeSettings::mMetrics> },
+      { "data-folder", &Reader::SetText<&NodeSettings::mDataFolder> },
+      { "may-found", &Reader::SetMayFound },
+      { "tolerated-losses", &Reader::SetLosses },
+      { "max-hold-ms", &Reader::SetTime<&NodeSettings::mMaxHold> },
+      { "worker-report-ms", &Reader::SetTime<&NodeSettings::mWorkerReport> },
+      { "grace-ms", &Reader::SetTime<&NodeSettings::mGrace> },
+    } };
+    const auto row =
+      std::find_if(kRows.begin(), kRows.end(), [&](const Row& aRow) {
+        return aRow.mKey == aEntry.mKey;
+      });
+    if (row != kRows.end()) {
+      return (this->*row->mSet)(aEntry);
+    }
+    std::string allowed;
+    for (const Row& known : kRows) {
+      allowed += (allowed.empty() ? "" : ", ") + std::string(known.mKey);
+    }
+    return Invalid(aEntry, "unknown key", allowed);
+  }
+
+  Result<NodeSettings> Finish() const
+  {
+    const auto missing = [&](std::string_view aKey) {
+      return Error(ErrorKind::InvalidSettings,
+                   mPath + ": [node] " + std::string(aKey) + " is missing");
+    };
+    if (mSettings.mName.empty()) {
+      return missing("name");
+    }
+    if (mSettings.mAddress.empty()) {
+      return missing("address");
+    }
+    if (mSettings.mPeerPort == 0) {
+      return missing("peer-port");
+    }
+    if (mSettings.mSeeds.empty()) {
+      return missing("seeds");
+    }
+    const bool isCoordinator = mSettings.mRole == NodeRole::Coordinator;
+    if (isCoordinator && mSettings.mControl.empty()) {
+      return missing("control");
+    }
+    if (isCoordinator && mSettings.mDataFolder.empty()) {
+      return missing("data-folder");
+    }
+    if (!isCoordinator && mSettings.mCallers.empty()) {
+      return missing("callers");
+    }
+    return mSettings;
+  }
+
+private:
+  Error Invalid(const IniEntry& aEntry,
+                const std::string& aWhat,
+                const std::string& aAllowed) const
+  {
+    return { ErrorKind::InvalidSettings,
+             mPath + ":" + std::to_string(aEntry.mLine) + ": [" +
+               aEntry.mSection + "] " + aEntry.mKey + " = '" + aEntry.mValue +
+               "': " + aWhat + " (allowed: " + aAllowed + ")" };
+  }
+
+  Result<std::uint32_t> Number(const IniEntry& aEntry,
+                               std::uint32_t aLowest,
+                               std::uint32_t aHighest) const
+  {
+    std::uint32_t number = 0;
+    const char* end = aEntry.mValue.data() + aEntry.mValue.size();
+    const auto parsed = std::from_chars(aEntry.mValue.data(), end, number);
+    const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
+    if (!whole || number < aLowest || number > aHighest) {
+      return Invalid(aEntry,
+                     "not a number in range",
+                     std::to_string(aLowest) + " to " +
+                       std::to_string(aHighest));
+    }
+    return number;
+  }
+
+  Result<void> SetRole(const IniEntry& aEntry)
+  {
+    const auto role = ValueOf(kNodeRoleNames, aEntry.mValue);
+    if (!role) {
+      return Invalid(aEntry, "unknown role", AllowedNames(kNodeRoleNames));
+    }
+    mSettings.mRole = *role;
+    return Success();
+  }
+
+  template<std::string NodeSettings::*Field>
+  Result<void> SetText(const IniEntry& aEntry)
+  {
+    mSettings.*Field = aEntry.mValue;
+    return Success();
+  }
+
+  template<std::chrono::milliseconds NodeSettings::*Field>
+  Result<void> SetTime(const IniEntry& aEntry)
+  {
+    BOOST_OUTCOME_TRY(number, Number(aEntry, 1, kMaxMilliseconds));
+    mSettings.*Field = std::chrono::milliseconds(number);
+    return Success();
+  }
+
+  Result<void> SetPort(const IniEntry& aEntry)
+  {
+    BOOST_OUTCOME_TRY(port, Number(aEntry, 1, kMaxPort));
+    mSettings.mPeerPort = static_cast<std::uint16_t>(port);
+    return Success();
+  }
+
+  Result<void> SetSeeds(const IniEntry& aEntry)
+  {
+    mSettings.mSeeds = SplitList(aEntry.mValue);
+    return Success();
+  }
+
+  Result<void> SetMayFound(const IniEntry& aEntry)
+  {
+    if (aEntry.mValue != "true" && aEntry.mValue != "false") {
+      return Invalid(aEntry, "not a truth value", "true, false");
+    }
+    mSettings.mMayFound = aEntry.mValue == "true";
+    return Success();
+  }
+
+  Result<void> SetLosses(const IniEntry& aEntry)
+  {
+    BOOST_OUTCOME_TRY(losses, Number(aEntry, 0, kMaxLosses));
+    mSettings.mToleratedLosses = losses;
+    return Success();
+  }
+
+  const std::string& mPath;
+  NodeSettings mSettings;
+};
+
+Result<NodeSettings>
+ReadEntries(const IniFile& aFile)
+{
+  Reader reader(aFile.mPath);
+  for (const IniEntry& entry : aFile.mEntries) {
+    if (entry.mSection != kSection) {
+      return Error(ErrorKind::InvalidSettings,
+                   aFile.mPath + ":" + std::to_string(entry.mLine) +
+                     ": unknown section [" + entry.mSection +
+                     "] (allowed: node)");
+    }
+    BOOST_OUTCOME_TRYV(reader.Read(entry));
+  }
+  return reader.Finish();
+}
+
+}
+
+Result<NodeSettings>
+ParseNodeSettings(const std::string& aPath, const std::string& aText)
+{
+  BOOST_OUTCOME_TRY(file, ParseIni(aPath, aText));
+  return ReadEntries(file);
+}
+
+Result<NodeSettings>
+LoadNodeSettings(const std::string& aPath)
+{
+  BOOST_OUTCOME_TRY(file, ReadIniFile(aPath));
+  return ReadEntries(file);
+}
+
+bool
+IsNodeSettings(const std::string& aPath)
+{
+  const Result<IniFile> file = ReadIniFile(aPath);
+  return file && !file.value().mEntries.empty() &&
+         file.value().mEntries.front().mSection == kSection;
+}
+
+}
--- /dev/null
+++ b/Source/Dispatch/Placement.cxx
@@ -0,0 +1,125 @@
+#include "Dispatch/Placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace almondspoke::dispatch {
+
+namespace {
+
+bool
+HasLabel(const WorkerReport& aReport, const std::string& aLabel)
+{
+  return aLabel.empty() ||
+         std::find(aReport.mLabels.begin(), aReport.mLabels.end(), aLabel) !=
+           aReport.mLabels.end();
+}
+
+std::size_t
+RunsOfStep(const WorkerSession& aWorker, const TaskId& aTask)
+{
+  const auto first = aWorker.Runs().lower_bound(
+    { aTask.mJob, aTask.mOccurrence, aTask.mStep, 0 });
+  std::size_t count = 0;
+  for (auto run = first; run != aWorker.Runs().end(); ++run) {
+    const bool same = run->first.mJob == aTask.mJob &&
+                      run->first.mOccurrence == aTask.mOccurrence &&
+                      run->first.mStep == aTask.mStep;
+    if (!same) {
+      break;
+    }
+    ++count;
+  }
+  return count;
+}
+
+}
+
+bool
+Placement::Fit::operator<(const Fit& aOther) const
+{
+  return std::tie(mAvoided, mFarFromData, mCold, mLeft) <
+         std::tie(
+           aOther.mAvoided, aOther.mFarFromData, aOther.mCold, aOther.mLeft);
+}
+
+bool
+Placement::IsAllowed(const WorkerSession& aWorker,
+                     const DispatchJob& aJob,
+                     const TaskId& aTask,
+                     Clock::Monotonic aNow,
+                     bool aSetAside)
+{
+  const StepSpec& step = aJob.Step(aTask);
+  if (aWorker.Report().mPool != aJob.mQueue.mPool || !aWorker.IsUsable(aNow) ||
+      !aWorker.HasRoomFor(step.mNeeds) ||
+      !HasLabel(aWorker.Report(), step.mRequiredLabel)) {
+    return false;
+  }
+  if (step.mMaxPerWorker > 0 &&
+      RunsOfStep(aWorker, aTask) >= step.mMaxPerWorker) {
+    return false;
+  }
+  if (aSetAside) {
+    return true;
+  }
+  if (aWorker.mHealth.IsSetAside(aNow)) {
+    return false;
+  }
+  return !aWorker.mHealth.IsOnTrial() || aWorker.Runs().empty();
+}
+
+Placement::Fit
+Placement::FitOf(const WorkerSession& aWorker,
+                 const DispatchJob& aJob,
+                 const TaskId& aTask)
+{
+  const StepSpec& step = aJob.Step(aTask);
+  const DispatchTask& task = aJob.mSteps[aTask.mStep][aTask.mIndex];
+  const WorkerReport& report = aWorker.Report();
+  Fit fit;
+  fit.mAvoided =
+    std::find(task.mAvoided.begin(), task.mAvoided.end(), report.mBoot.mId) !=
+    task.mAvoided.end();
+  fit.mFarFromData =
+    !step.mDataRack.empty() && !HasLabel(report, step.mDataRack);
+  fit.mCold = report.mColdMs > 0;
+  fit.mLeft = aWorker.Free().mMilliCores - step.mNeeds.mMilliCores;
+  return fit;
+}
+
+WorkerSession*
+Placement::Choose(WorkerSessions& aWorkers,
+                  const DispatchJob& aJob,
+                  const TaskId& aTask,
+                  Clock::Monotonic aNow,
+                  bool aSetAside)
+{
+  WorkerSession* best = nullptr;
+  Fit bestFit;
+  for (auto& [id, worker] : aWorkers) {
+    if (!IsAllowed(worker, aJob, aTask, aNow, aSetAside)) {
+      continue;
+    }
+    const Fit fit = FitOf(worker, aJob, aTask);
+    if (best == nullptr || fit < bestFit) {
+      best = &worker;
+      bestFit = fit;
+    }
+  }
+  return best;
+}
+
+bool
+Placement::CouldEverRun(const WorkerSessions& aWorkers,
+                        const PoolName& aPool,
+                        const StepSpec& aStep)
+{
+  return std::any_of(aWorkers.begin(), aWorkers.end(), [&](const auto& aEntry) {
+    const WorkerReport& report = aEntry.second.Report();
+    return report.mPool == aPool && aStep.mNeeds.FitsInto(report.mCapacity) &&
+           HasLabel(report, aStep.mRequiredLabel);
+  });
+}
+
+}
--- /dev/null
+++ b/Source/Dispatch/Placement.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "Dispatch/DispatchJob.h"
+#include "Dispatch/WorkerSession.h"
+
+namespace almondspoke::dispatch {
+
+using WorkerSessions = std::map<WorkerId, WorkerSession>;
+
+/** \brief Chooses the worker of a task.
+ *
+ * Answers the load of wide jobs whose tasks fill a worker to a half or more:
+ * the worker that is left with the least room is taken, so that large tasks
+ * still find workers that are free. A worker on which an earlier run of the
+ * task ended badly is taken only if there is no other. */
+class Placement
+{
+public:
+  /** \param aSetAside whether workers that are put aside may be used */
+  static WorkerSession* Choose(WorkerSessions& aWorkers,
+                               const DispatchJob& aJob,
+                               const TaskId& aTask,
+                               Clock::Monotonic aNow,
+                               bool aSetAside);
+
+  /** Whether any worker of the pool could run the task if it were free. */
+  static bool CouldEverRun(const WorkerSessions& aWorkers,
+                           const PoolName& aPool,
+                           const StepSpec& aStep);
+
+private:
+  struct Fit
+  {
+    bool mAvoided = false;
+    bool mFarFromData = false;
+    bool mCold = false;
+    std::uint32_t mLeft = 0;
+
+    bool operator<(const Fit& aOther) const;
+  };
+
+  static bool IsAllowed(const WorkerSession& aWorker,
+                        const DispatchJob& aJob,
+                        const TaskId& aTask,
+                        Clock::Monotonic aNow,
+                        bool aSetAside);
+  static Fit FitOf(const WorkerSession& aWorker,
+                   const DispatchJob& aJob,
+                   const TaskId& aTask);
+};
+
+}
--- /dev/null
+++ b/Source/Dispatch/ReportExchange.cxx
@@ -0,0 +1,184 @@
+#include "Dispatch/ReportExchange.h"
+
+#include <utility>
+
+#include "Base/MessagePack.h"
+#include "Dispatch/JobMessages.h"
+
+namespace almondspoke::dispatch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Reports are collected for so long before they are sent on. */
+constexpr milliseconds kBatch{ 25 };
+constexpr milliseconds kAskInterval{ 300 };
+constexpr milliseconds kTimeout{ 500 };
+
+/** Intervals of reports after which each worker has reported, also through a
+ * lost report. */
+constexpr int kIntervalsToComplete = 3;
+
+/** \brief Reports on their way between two coordinators. */
+struct ReportBatch
+{
+  std::vector<WorkerReport> mReports;
+  MSGPACK_DEFINE(mReports)
+};
+
+}
+
+ReportExchange::ReportExchange(const Clock& aClock,
+                               PeerRpc& aRpc,
+                               EventLog& aLog,
+                               WorkerDirectory& aDirectory,
+                               InstanceName aSelf,
+                               Observer aObserver)
+  : mClock(aClock)
+  , mRpc(aRpc)
+  , mLog(aLog)
+  , mDirectory(aDirectory)
+  , mSelf(std::move(aSelf))
+  , mObserver(std::move(aObserver))
+  , mStarted(aClock.MonotonicNow())
+{
+}
+
+void
+ReportExchange::Register()
+{
+  mRpc.Register(
+    kReportsMethod,
+    [this](const InstanceName&,
+           const std::string& aRequest,
+           const PeerRpc::Done& aDone) { OnReports(aRequest, aDone); });
+  mRpc.Register(kAllReportsMethod,
+                [this](const InstanceName&,
+                       const std::string&,
+                       const PeerRpc::Done& aDone) { OnAllReports(aDone); });
+}
+
+void
+ReportExchange::Take(const WorkerReport& aReport)
+{
+  if (!mDirectory.Take(aReport, mClock.MonotonicNow())) {
+    return;
+  }
+  mNews.push_back(aReport);
+  mObserver(aReport);
+}
+
+void
+ReportExchange::TakeLeft(const WorkerId& aId)
+{
+  const auto left = mDirectory.MarkLeft(aId, mClock.MonotonicNow());
+  if (left) {
+    mNews.push_back(*left);
+    mObserver(*left);
+  }
+}
+
+void
+ReportExchange::SetPeers(std::set<InstanceName> aPeers)
+{
+  aPeers.erase(mSelf);
+  mPeers = std::move(aPeers);
+}
+
+void
+ReportExchange::Tick()
+{
+  const TimePoint now = mClock.MonotonicNow();
+  if (!mHasAll && !mAsking && now >= mNextAsk && !mPeers.empty()) {
+    AskForAll();
+  }
+  if (mNews.empty() || now < mNextSend) {
+    return;
+  }
+  mNextSend = now + kBatch;
+  ReportBatch batch;
+  batch.mReports.swap(mNews);
+  const std::string packed = PackMessage(batch);
+  for (const InstanceName& peer : mPeers) {
+    mRpc.Call(
+      peer, kReportsMethod, packed, kTimeout, [](const Result<std::string>&) {
+        // The worker's next report makes up for a lost one.
+      });
+  }
+}
+
+bool
+ReportExchange::IsComplete(milliseconds aReportInterval) const
+{
+  return mHasAll || mClock.MonotonicNow() - mStarted >=
+                      aReportInterval * kIntervalsToComplete;
+}
+
+void
+ReportExchange::AskForAll()
+{
+  auto peer = mPeers.begin();
+  std::advance(peer, mNextPeer++ % mPeers.size());
+  mAsking = true;
+  mNextAsk = mClock.MonotonicNow() + kAskInterval;
+  mRpc.Call(*peer,
+            kAllReportsMethod,
+            {},
+            kTimeout,
+            [this](const Result<std::string>& aAnswer) { TakeAll(aAnswer); });
+}
+
+void
+ReportExchange::TakeAll(const Result<std::string>& aAnswer)
+{
+  mAsking = false;
+  if (!aAnswer) {
+    return;
+  }
+  const Result<ReportBatch> batch = UnpackMessage<ReportBatch>(aAnswer.value());
+  if (!batch) {
+    EventLine(mLog, "reports-malformed")
+      .With("reason", batch.error().Message());
+    return;
+  }
+  TakeNews(batch.value().mReports);
+  mHasAll = !batch.value().mReports.empty();
+}
+
+void
+ReportExchange::TakeNews(const std::vector<WorkerReport>& aReports)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  for (const WorkerReport& report : aReports) {
+    if (mDirectory.Take(report, now)) {
+      mObserver(report);
+    }
+  }
+}
+
+void
+ReportExchange::OnReports(const std::string& aRequest,
+                          const PeerRpc::Done& aDone)
+{
+  const Result<ReportBatch> batch = UnpackMessage<ReportBatch>(aRequest);
+  if (!batch) {
+    aDone(batch.error());
+    return;
+  }
+  TakeNews(batch.value().mReports);
+  aDone(std::string());
+}
+
+void
+ReportExchange::OnAllReports(const PeerRpc::Done& aDone)
+{
+  // One that may lack workers itself does not vouch for a complete list.
+  ReportBatch batch;
+  if (mHasAll || mClock.MonotonicNow() - mStarted > std::chrono::seconds(3)) {
+    batch.mReports = mDirectory.All();
+  }
+  aDone(PackMessage(batch));
+}
+
+}
--- /dev/null
+++ b/Source/Dispatch/ReportExchange.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Base/EventLog.h"
+#include "Base/InstanceIdentity.h"
+#include "Base/Result.h"
+#include "Dispatch/WorkerDirectory.h"
+#include "Transport/PeerRpc.h"
+
+namespace almondspoke::dispatch {
+
+/** \brief Keeps the directories of workers of all coordinators alike.
+ *
+ * Reports that come in here go to the other coordinators in batches. An
+ * instance that starts asks one of the others for all that it knows. Not
+ * thread-safe. */
+class ReportExchange
+{
+public:
+  using TimePoint = Clock::Monotonic;
+  using Observer = std::function<void(const WorkerReport&)>;
+
+  /** \param aObserver called with each report that is news here */
+  ReportExchange(const Clock& aClock,
+                 PeerRpc& aRpc,
+                 EventLog& aLog,
+                 WorkerDirectory& aDirectory,
+                 InstanceName aSelf,
+                 Observer aObserver);
+
+  /** Registers the methods; before the transport starts. */
+  void Register();
+
+  /** Takes a report that a worker sent to this instance. */
+  void Take(const WorkerReport& aReport);
+  /** A worker told this instance that it ends. */
+  void TakeLeft(const WorkerId& aId);
+
+  /** Coordinators to exchange with, this one left out. */
+  void SetPeers(std::set<InstanceName> aPeers);
+
+  void Tick();
+
+  /** Whether all workers known to another coordinator are known here, or must
+   * have reported since the start. */
+  bool IsComplete(std::chrono::milliseconds aReportInterval) const;
+
+private:
+  void OnReports(const std::string& aRequest, const PeerRpc::Done& aDone);
+  void OnAllReports(const PeerRpc::Done& aDone);
+  void AskForAll();
+  void TakeAll(const Result<std::string>& aAnswer);
+  void TakeNews(const std::vector<WorkerReport>& aReports);
+
+  const Clock& mClock;
+  PeerRpc& mRpc;
+  EventLog& mLog;
+  WorkerDirectory& mDirectory;
+  const InstanceName mSelf;
+  const Observer mObserver;
+  const TimePoint mStarted;
+  std::set<InstanceName> mPeers;
+  std::vector<WorkerReport> mNews;
+  TimePoint mNextSend{};
+  TimePoint mNextAsk{};
+  bool mHasAll = false;
+  bool mAsking = false;
+  std::size_t mNextPeer = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Dispatch/WorkerSession.cxx
@@ -0,0 +1,129 @@
+#include "Dispatch/WorkerSession.h"
+
+#include <algorithm>
+
+namespace almondspoke::dispatch {
+
+namespace {
+
+/** A worker's clock may run so much slower than this instance's, in percent
+ * (protocol of the workers). */
+constexpr std::int64_t kSlowClockPercent = 2;
+constexpr std::int64_t kWhole = 100;
+
+/** Added to the end of a lease before its runs count as gone, for the
+ * resolution of clocks and timers. */
+constexpr std::chrono::milliseconds kLapseMargin{ 30 };
+
+/** Time that a report has to reach all instances that may lead. A worker that
+ * only a former leader knew may hold runs that this leader cannot see. */
+constexpr std::chrono::milliseconds kReportSpread{ 400 };
+
+std::chrono::milliseconds
+SinceAt(Clock::Monotonic aThen, Clock::Monotonic aNow)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aThen);
+}
+
+}
+
+WorkerSession::WorkerSession(WorkerReport aReport,
+                             TimePoint aNow,
+                             std::chrono::milliseconds aMaxHold)
+  : mFirstSeen(aNow)
+  , mReport(std::move(aReport))
+  , mMaxHold(aMaxHold)
+{
+}
+
+void
+WorkerSession::ObserveClock(WorkerTime aClock, TimePoint aAt)
+{
+  if (mClockKnown && ClockAt(aAt) >= aClock) {
+    return;
+  }
+  mClockKnown = true;
+  mClock = aClock;
+  mClockAt = aAt;
+}
+
+WorkerTime
+WorkerSession::ClockAt(TimePoint aNow) const
+{
+  return mClock + SinceAt(mClockAt, aNow).count() *
+                    (kWhole - kSlowClockPercent) / kWhole;
+}
+
+WorkerTime
+WorkerSession::GrantLease(TimePoint aNow)
+{
+  // The lease ends on the worker's clock, which may be slow.
+  const std::chrono::milliseconds longest =
+    mMaxHold * kWhole / (kWhole - kSlowClockPercent) + kLapseMargin;
+  mLeaseBound = std::max(mLeaseBound, aNow + longest);
+  return ClockAt(aNow) + mMaxHold.count();
+}
+
+LedgerRun&
+WorkerSession::Add(const TaskId& aTask, LedgerRun aRun)
+{
+  mUsed += aRun.mNeeds;
+  mOrphans += aRun.mOrphan ? 1 : 0;
+  return mRuns[aTask] = aRun;
+}
+
+LedgerRun*
+WorkerSession::Find(const TaskId& aTask)
+{
+  const auto run = mRuns.find(aTask);
+  return run == mRuns.end() ? nullptr : &run->second;
+}
+
+void
+WorkerSession::Remove(const TaskId& aTask)
+{
+  const auto run = mRuns.find(aTask);
+  if (run == mRuns.end()) {
+    return;
+  }
+  mUsed -= run->second.mNeeds;
+  mOrphans -= run->second.mOrphan ? 1 : 0;
+  mRuns.erase(run);
+}
+
+void
+WorkerSession::SetNeeds(LedgerRun& aRun, const Resources& aNeeds)
+{
+  mUsed -= aRun.mNeeds;
+  mUsed += aNeeds;
+  mOrphans -= aRun.mOrphan ? 1 : 0;
+  aRun.mNeeds = aNeeds;
+  aRun.mOrphan = false;
+}
+
+Resources
+WorkerSession::Free() const
+{
+  const Resources& capacity = mReport.mCapacity;
+  const auto left = [](std::uint32_t aWhole, std::uint32_t aUsed) {
+    return aWhole > aUsed ? aWhole - aUsed : 0;
+  };
+  return { left(capacity.mMilliCores, mUsed.mMilliCores),
+           left(capacity.mMemoryMegabytes, mUsed.mMemoryMegabytes),
+           left(capacity.mAccelerators, mUsed.mAccelerators) };
+}
+
+bool
+WorkerSession::HasRoomFor(const Resources& aNeeds) const
+{
+  return mOrphans == 0 && aNeeds.FitsInto(Free());
+}
+
+bool
+WorkerSession::IsUsable(TimePoint aNow) const
+{
+  return mFenced && mUnanswered == 0 && !mReport.mDraining && !mReport.mLeft &&
+         aNow - mFirstSeen >= kReportSpread;
+}
+
+}
--- /dev/null
+++ b/Source/Dispatch/WorkerSession.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "Base/Clock.h"
+#include "Dispatch/WorkerCalls.h"
+#include "Dispatch/WorkerHealth.h"
+
+namespace almondspoke::dispatch {
+
+/** \brief How far a run on a worker has got, as far as the leader knows. */
+enum class RunPhase : std::uint8_t
+{
+  /** The order to start it is on its way. */
+  Starting,
+  Running,
+  /** The order to start it got no answer: it may run, or may yet begin. */
+  Doubtful,
+  /** A stop has been ordered. */
+  Stopping
+};
+
+/** \brief One run that is, or may be, on a worker. It keeps its room until it
+ * is certain that it is not there and cannot begin any more. */
+struct LedgerRun
+{
+  RunNumber mNumber = 0;
+  RunPhase mPhase = RunPhase::Starting;
+  Resources mNeeds;
+  /** True for a run that an earlier leader started, until its job is known. */
+  bool mOrphan = false;
+  /** The worker will not begin it any more: it has confirmed the stop. */
+  bool mStopConfirmed = false;
+  bool mStopInFlight = false;
+  /** Hold orders up to this number cannot show that the run is gone. */
+  std::uint64_t mLastBlindHold = 0;
+  Clock::Monotonic mSentAt{};
+  std::uint32_t mPercent = 0;
+  Clock::Monotonic mPercentAt{};
+};
+
+/** \brief The leader's dealings with one boot of one worker: its lease, its
+ * list of runs and the room that they take. */
+class WorkerSession
+{
+public:
+  using TimePoint = Clock::Monotonic;
+
+  /** \param aMaxHold longest lease that workers grant */
+  WorkerSession(WorkerReport aReport,
+                TimePoint aNow,
+                std::chrono::milliseconds aMaxHold);
+
+  const WorkerReport& Report() const { return mReport; }
+  /** Takes a newer report of the same boot. */
+  void Update(WorkerReport aReport) { mReport = std::move(aReport); }
+
+  /** The worker's clock was at least this at that time. */
+  void ObserveClock(WorkerTime aClock, TimePoint aAt);
+  bool IsClockKnown() const { return mClockKnown; }
+  /** Lowest time that the worker's clock can show. */
+  WorkerTime ClockAt(TimePoint aNow) const;
+  /** End of a lease granted now; remembers it as granted. */
+  WorkerTime GrantLease(TimePoint aNow);
+  /** After this time nothing that was started here runs any more, unless a
+   * further lease is granted. */
+  TimePoint LeaseBound() const { return mLeaseBound; }
+  bool HasLapsed(TimePoint aNow) const { return aNow > mLeaseBound; }
+
+  /** Adds a run, which takes room from now on. */
+  LedgerRun& Add(const TaskId& aTask, LedgerRun aRun);
+  LedgerRun* Find(const TaskId& aTask);
+  void Remove(const TaskId& aTask);
+  void SetNeeds(LedgerRun& aRun, const Resources& aNeeds);
+  std::map<TaskId, LedgerRun>& Runs() { return mRuns; }
+  const std::map<TaskId, LedgerRun>& Runs() const { return mRuns; }
+
+  /** Whether the needs fit beside everything that may be on the worker. Runs
+   * of unknown size fill it. */
+  bool HasRoomFor(const Resources& aNeeds) const;
+  Resources Free() const;
+  /** Whether new runs may start here, apart from room. */
+  bool IsUsable(TimePoint aNow) const;
+
+  /** True once the worker has answered under this leader's fence, so that no
+   * earlier leader's order can have an effect any more. */
+  bool mFenced = false;
+  /** Consecutive hold orders without an answer. */
+  unsigned mUnanswered = 0;
+  bool mHoldInFlight = false;
+  std::uint64_t mHoldsSent = 0;
+  TimePoint mNextHold{};
+  /** Ends up to this number have been processed. */
+  std::uint64_t mProcessedEnds = 0;
+  /** Ends up to this number have been told to the worker as processed. */
+  std::uint64_t mAcknowledgedEnds = 0;
+  /** When the oldest end that is not acknowledged was processed. */
+  TimePoint mEndsSince{};
+  std::size_t mOrphans = 0;
+  WorkerHealth mHealth;
+  const TimePoint mFirstSeen;
+
+private:
+  WorkerReport mReport;
+  const std::chrono::milliseconds mMaxHold;
+  std::map<TaskId, LedgerRun> mRuns;
+  Resources mUsed;
+  bool mClockKnown = false;
+  WorkerTime mClock = 0;
+  TimePoint mClockAt{};
+  TimePoint mLeaseBound{};
+};
+
+}
--- a/Source/Transport/AsioPeerTransport.cxx
+++ b/Source/Transport/AsioPeerTransport.cxx
@@ -11,36 +11,87 @@
 
 namespace almondspoke {
 
+namespace {
+
+/** Connections that unlisted names may open, so that a peer that invents names
+ * does not take all descriptors. */
+constexpr std::size_t kMaxLinks = 512;
+
+}
+
 AsioPeerTransport::AsioPeerTransport(asio::io_context& aContext,
                                      InstanceIdentity aSelf,
                                      asio::ip::tcp::endpoint aListen,
-                                     const std::vector<PeerAddress>& aPeers)
+                                     const std::vector<PeerAddress>& aPeers,
+                                     const PeerTimings& aTimings)
   : mContext(aContext)
   , mSelf(std::move(aSelf))
   , mListen(std::move(aListen))
   , mAcceptor(aContext)
+  , mTimings(aTimings)
+  , mHello(
+      EncodePeerHello(PeerHello{ kPeerProtocolVersion, mSelf, true, true }))
 {
-  const std::string hello =
-    EncodePeerHello(PeerHello{ kPeerProtocolVersion, mSelf, true, true });
   for (const PeerAddress& peer : aPeers) {
     if (peer.mName == mSelf.mName) {
       continue;
     }
-    mLinks.emplace(peer.mName,
-                   std::make_shared<PeerLink>(
-                     aContext,
-                     peer.mName,
-                     peer.mAddress,
-                     hello,
-                     mTraffic,
-                     [this, name = peer.mName](const PeerFrame& aFrame) {
-                       Deliver(name, aFrame);
-                     }));
+    mLinks.emplace(peer.mName, MakeLink(peer));
   }
 }
 
 AsioPeerTransport::~AsioPeerTransport() = default;
 
+std::shared_ptr<PeerLink>
+AsioPeerTransport::MakeLink(const PeerAddress& aPeer) const
+{
+  return std::make_shared<PeerLink>(
+    mContext,
+    aPeer.mName,
+    aPeer.mAddress,
+    mHello,
+    mTraffic,
+    [this, name = aPeer.mName](const PeerFrame& aFrame) {
+      Deliver(name, aFrame);
+    },
+    mTimings);
+}
+
+void
+AsioPeerTransport::AllowUnlisted(PeerResolver aResolver)
+{
+  mResolver = std::move(aResolver);
+}
+
+std::shared_ptr<PeerLink>
+AsioPeerTransport::ExistingLink(const InstanceName& aName) const
+{
+  const std::lock_guard<std::mutex> lock(mLinksMutex);
+  const auto link = mLinks.find(aName);
+  return link == mLinks.end() ? nullptr : link->second;
+}
+
+std::shared_ptr<PeerLink>
+AsioPeerTransport::LinkTo(const InstanceName& aName) const
+{
+  const std::lock_guard<std::mutex> lock(mLinksMutex);
+  const auto link = mLinks.find(aName);
+  if (link != mLinks.end()) {
+    return link->second;
+  }
+  if (!mResolver || mLinks.size() >= kMaxLinks) {
+    return nullptr;
+  }
+  const auto address = mResolver(aName);
+  if (!address) {
+    return nullptr;
+  }
+  const auto opened = MakeLink({ aName, *address });
+  mLinks.emplace(aName, opened);
+  opened->Start();
+  return opened;
+}
+
 Result<void>
 AsioPeerTransport::Listen()
 {
@@ -67,6 +118,7 @@
 AsioPeerTransport::Start()
 {
   Accept();
+  const std::lock_guard<std::mutex> lock(mLinksMutex);
   for (const auto& [name, link] : mLinks) {
     link->Start();
   }
@@ -79,6 +131,7 @@
     asio::error_code ignored;
     mAcceptor.close(ignored);
   });
+  const std::lock_guard<std::mutex> lock(mLinksMutex);
   for (const auto& [name, link] : mLinks) {
     link->Stop();
   }
@@ -99,12 +152,12 @@
     session->Send(EncodePeerFrame(aFrame));
     return;
   }
-  const auto link = mLinks.find(aTo);
-  if (link == mLinks.end()) {
+  const std::shared_ptr<PeerLink> link = LinkTo(aTo);
+  if (!link) {
     ++mTraffic.mFramesDropped;
     return;
   }
-  link->second->Send(EncodePeerFrame(aFrame));
+  link->Send(EncodePeerFrame(aFrame));
 }
 
 bool
@@ -113,8 +166,8 @@
   if (aTo == mSelf.mName) {
     return true;
   }
-  const auto link = mLinks.find(aTo);
-  return link != mLinks.end() && link->second->IsConnected();
+  const std::shared_ptr<PeerLink> link = LinkTo(aTo);
+  return link && link->IsConnected();
 }
 
 std::uint64_t
@@ -123,8 +176,8 @@
   if (aTo == mSelf.mName) {
     return 1;
   }
-  const auto link = mLinks.find(aTo);
-  return link == mLinks.end() ? 0 : link->second->ConnectionNumber();
+  const std::shared_ptr<PeerLink> link = LinkTo(aTo);
+  return link ? link->ConnectionNumber() : 0;
 }
 
 void
@@ -149,8 +202,9 @@
         return;
       }
       if (!aError) {
-        ApplySocketOptions(aSocket, PeerLink::kUserTimeout);
-        std::make_shared<PeerSession>(std::move(aSocket), *this, mTraffic)
+        ApplySocketOptions(aSocket, mTimings.mUserTimeout);
+        std::make_shared<PeerSession>(
+          std::move(aSocket), *this, mTraffic, mTimings)
           ->Start();
       }
       Accept();
@@ -158,7 +212,8 @@
 }
 
 void
-AsioPeerTransport::Deliver(const InstanceName& aFrom, const PeerFrame& aFrame)
+AsioPeerTransport::Deliver(const InstanceName& aFrom,
+                           const PeerFrame& aFrame) const
 {
   const Handler& handler = mHandlers[static_cast<std::size_t>(aFrame.mChannel)];
   if (handler) {
@@ -196,7 +251,10 @@
 bool
 AsioPeerTransport::IsPeer(const InstanceName& aName) const
 {
-  return mLinks.count(aName) != 0;
+  if (mResolver) {
+    return mResolver(aName).has_value();
+  }
+  return ExistingLink(aName) != nullptr;
 }
 
 }
--- a/Source/Transport/PeerLink.cxx
+++ b/Source/Transport/PeerLink.cxx
@@ -17,8 +17,6 @@
 
 constexpr std::size_t kMaxFramesPerWrite = 64;
 constexpr std::chrono::milliseconds kFirstBackoff{ 20 };
-constexpr std::chrono::milliseconds kLongestBackoff{ 400 };
-constexpr std::chrono::milliseconds kConnectTimeout{ 1000 };
 constexpr unsigned kMaxBackoffDoublings = 5;
 
 }
@@ -28,12 +26,14 @@
                    asio::ip::tcp::endpoint aAddress,
                    std::string aHello,
                    PeerTraffic& aTraffic,
-                   AnswerHandler aOnAnswer)
+                   AnswerHandler aOnAnswer,
+                   const PeerTimings& aTimings)
   : mStrand(asio::make_strand(aContext))
   , mPeer(std::move(aPeer))
   , mAddress(std::move(aAddress))
   , mHello(std::move(aHello))
   , mTraffic(aTraffic)
+  , mTimings(aTimings)
   , mSocket(mStrand)
   , mTimer(mStrand)
   , mRandom(std::random_device{}())
@@ -95,7 +95,7 @@
     return;
   }
   mSocket = asio::ip::tcp::socket(mStrand);
-  mTimer.expires_after(kConnectTimeout);
+  mTimer.expires_after(mTimings.mConnectTimeout);
   mTimer.async_wait([self = shared_from_this()](asio::error_code aError) {
     if (!aError && !self->mConnected) {
       asio::error_code ignored;
@@ -119,7 +119,7 @@
 PeerLink::OnConnected()
 {
   mTimer.cancel();
-  ApplySocketOptions(mSocket, kUserTimeout);
+  ApplySocketOptions(mSocket, mTimings.mUserTimeout);
   mFailures = 0;
   mQueue.clear();
   mQueue.push_back(mHello);
@@ -162,7 +162,7 @@
   const unsigned doublings = std::min(mFailures, kMaxBackoffDoublings);
   ++mFailures;
   const std::chrono::milliseconds longest =
-    std::min(kLongestBackoff, kFirstBackoff * (1U << doublings));
+    std::min(mTimings.mLongestBackoff, kFirstBackoff * (1U << doublings));
   std::uniform_int_distribution<std::int64_t> jitter(longest.count() / 2,
                                                      longest.count());
   mTimer.expires_after(std::chrono::milliseconds(jitter(mRandom)));
@@ -273,7 +273,7 @@
 void
 PeerLink::WatchForSilence()
 {
-  mTimer.expires_after(kPeerLivenessPeriod);
+  mTimer.expires_after(mTimings.mLivenessPeriod);
   mTimer.async_wait([self = shared_from_this()](asio::error_code aError) {
     if (aError || !self->mConnected) {
       return;
@@ -290,8 +290,9 @@
 PeerLink::IsSilent() const
 {
   const auto now = std::chrono::steady_clock::now();
-  return (mAwaitingSince && now - *mAwaitingSince >= kSilenceTimeout) ||
-         now - mLastHeard >= kIdleSilenceTimeout;
+  return (mAwaitingSince &&
+          now - *mAwaitingSince >= mTimings.mSilenceTimeout) ||
+         now - mLastHeard >= mTimings.mIdleSilenceTimeout;
 }
 
 }
--- a/Source/Transport/PeerLink.h
+++ b/Source/Transport/PeerLink.h
@@ -41,6 +41,28 @@
 /** The same on a connection without frames, to a sending end that allows it. */
 constexpr std::chrono::milliseconds kPeerIdleLivenessPeriod{ 10'000 };
 
+/** \brief Times after which a connection between instances is given up, and
+ * the intervals of the signs of life that keep it; the same on both ends. */
+struct PeerTimings
+{
+  std::chrono::milliseconds mConnectTimeout{ 1000 };
+  /** Longest pause between two attempts to connect. */
+  std::chrono::milliseconds mLongestBackoff{ 400 };
+  /** Time after which unacknowledged data ends a connection. */
+  std::chrono::milliseconds mUserTimeout{ 1500 };
+  /** Time after a write without a byte from the receiving end that ends a
+   * connection, for where something between the two ends acknowledges what it
+   * loses. */
+  std::chrono::milliseconds mSilenceTimeout{ 2500 };
+  /** The same on a connection without writes. */
+  std::chrono::milliseconds mIdleSilenceTimeout{ 12'500 };
+  /** Time after a frame within which the receiving end writes something back.
+   */
+  std::chrono::milliseconds mLivenessPeriod{ kPeerLivenessPeriod };
+  /** The same on a connection without frames. */
+  std::chrono::milliseconds mIdleLivenessPeriod{ kPeerIdleLivenessPeriod };
+};
+
 /** Bytes that may wait to be written on a connection; more is dropped. */
 constexpr std::size_t kMaxQueuedPeerBytes = 96UL * 1024UL * 1024UL;
 
@@ -48,7 +70,7 @@
  *
  * Connects on Start(), reconnects with jittered backoff, and writes queued
  * frames in batches. Answers to them come back on it. A connection whose data
- * stays unacknowledged for kUserTimeout is dropped by the kernel and opened
+ * stays unacknowledged for the user timeout is dropped by the kernel and opened
  * anew. */
 class PeerLink : public std::enable_shared_from_this<PeerLink>
 {
@@ -56,23 +78,13 @@
   /** Receives the answers that come back on the connection. */
   using AnswerHandler = std::function<void(const PeerFrame& aFrame)>;
 
-  /** Time after which unacknowledged data ends a connection. */
-  static constexpr std::chrono::milliseconds kUserTimeout{ 1500 };
-
-  /** Time after a write without a byte from the receiving end that ends a
-   * connection, for where something between the two ends acknowledges what it
-   * loses. */
-  static constexpr std::chrono::milliseconds kSilenceTimeout{ 2500 };
-
-  /** The same on a connection without writes. */
-  static constexpr std::chrono::milliseconds kIdleSilenceTimeout{ 12'500 };
-
   PeerLink(asio::io_context& aContext,
            InstanceName aPeer,
            asio::ip::tcp::endpoint aAddress,
            std::string aHello,
            PeerTraffic& aTraffic,
-           AnswerHandler aOnAnswer);
+           AnswerHandler aOnAnswer,
+           const PeerTimings& aTimings = {});
 
   void Start();
   void Stop();
@@ -109,6 +121,7 @@
   asio::ip::tcp::endpoint mAddress;
   std::string mHello;
   PeerTraffic& mTraffic;
+  const PeerTimings mTimings;
 
   asio::ip::tcp::socket mSocket;
   asio::steady_timer mTimer;
--- a/Source/Transport/PeerSession.cxx
+++ b/Source/Transport/PeerSession.cxx
@@ -24,10 +24,12 @@
 
 PeerSession::PeerSession(asio::ip::tcp::socket aSocket,
                          AsioPeerTransport& aTransport,
-                         PeerTraffic& aTraffic)
+                         PeerTraffic& aTraffic,
+                         const PeerTimings& aTimings)
   : mSocket(std::move(aSocket))
   , mTransport(aTransport)
   , mTraffic(aTraffic)
+  , mTimings(aTimings)
   , mTimer(mSocket.get_executor())
 {
 }
@@ -219,8 +221,8 @@
 {
   // Replaces the wait that is under way, if any.
   mTimer.expires_after(mOwesWrite || !mAllowsIdleQuiet
-                         ? kPeerLivenessPeriod
-                         : kPeerIdleLivenessPeriod);
+                         ? mTimings.mLivenessPeriod
+                         : mTimings.mIdleLivenessPeriod);
   mTimer.async_wait([self = shared_from_this()](asio::error_code aError) {
     if (aError || !self->mSocket.is_open() || !self->mWriting.empty()) {
       return;
--- a/Source/Transport/PeerSession.h
+++ b/Source/Transport/PeerSession.h
@@ -18,15 +18,16 @@
 class AsioPeerTransport;
 
 /** \brief One incoming connection: reads the hello, then frames, and writes
- * answers back. Within kPeerLivenessPeriod after the first byte of a frame, and
- * every kPeerIdleLivenessPeriod, it writes something that shows that it is
+ * answers back. Within mLivenessPeriod after the first byte of a frame, and
+ * every mIdleLivenessPeriod, it writes something that shows that it is
  * there. Closes itself if no hello arrives. */
 class PeerSession : public std::enable_shared_from_this<PeerSession>
 {
 public:
   PeerSession(asio::ip::tcp::socket aSocket,
               AsioPeerTransport& aTransport,
-              PeerTraffic& aTraffic);
+              PeerTraffic& aTraffic,
+              const PeerTimings& aTimings);
 
   void Start();
 
@@ -50,6 +51,7 @@
   asio::ip::tcp::socket mSocket;
   AsioPeerTransport& mTransport;
   PeerTraffic& mTraffic;
+  const PeerTimings mTimings;
   std::array<char, kPeerLengthBytes> mLength{};
   std::string mBody;
   InstanceName mFrom;
--- a/Tests/Processes/ClusterInstallation.h
+++ b/Tests/Processes/ClusterInstallation.h
@@ -14,6 +14,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "Processes/FaultyDisk.h"
 #include "StandIn/LinkForwarder.h"
 #include "Support/BlockingClient.h"
 #include "Support/ChildProcess.h"
@@ -89,7 +90,7 @@
       command = { "/usr/bin/env",
                   "ALMONDSPOKE_FAULTY_DISK=" + DiskFault(aNode),
                   "ASAN_OPTIONS=verify_asan_link_order=0",
-                  "LD_PRELOAD=" FAULTY_DISK_PATH };
+                  FaultyDiskVariable() };
     }
     command.insert(command.end(),
                    { ALMONDSPOKED_PATH, "--settings", SettingsFile(aNode) });
--- /dev/null
+++ b/Tests/Processes/FaultyDiskTest.cxx
@@ -0,0 +1,19 @@
+#include "Processes/FaultyDisk.h"
+
+#include <catch2/catch.hpp>
+
+namespace almondspoke::testing {
+
+std::string
+FaultyDiskVariable()
+{
+  return "LD_PRELOAD=" FAULTY_DISK_PATH;
+}
+
+}
+
+TEST_CASE("Faulty disk: the library is named by a path")
+{
+  using almondspoke::testing::FaultyDiskVariable;
+  CHECK(FaultyDiskVariable().find("=/") != std::string::npos);
+}
