--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -65,11 +65,13 @@
                          const Clock& aClock,
                          WorkerCalls& aCalls,
                          CallReplies& aReplies,
+                         RecordSink& aRecords,
                          EventLog& aLog)
   : mOptions(aOptions)
   , mClock(aClock)
   , mCalls(aCalls)
   , mReplies(aReplies)
+  , mRecords(aRecords)
   , mLog(aLog)
   , mRandom(aOptions.mSeed)
 {
@@ -77,22 +79,33 @@
 
 void
 Coordinator::Lead(Fence aFence,
-                  const std::vector<WorkerReport>& aReports,
-                  bool aComplete)
+                  const DispatchState& aState,
+                  const std::vector<WorkerReport>& aReports)
 {
   Resign();
   mLeading = true;
   mFence = aFence;
-  mReportsComplete = aComplete;
   mLeadSince = mClock.MonotonicNow();
   EventLine(mLog, "lead-begins")
     .With("fence", aFence)
-    .With("workers", std::uint64_t{ aReports.size() })
-    .With("reports_complete", aComplete)
+    .With("workers", std::uint64_t{ aState.mWorkers.size() })
+    .With("reports", std::uint64_t{ aReports.size() })
+    .With("stored_jobs", std::uint64_t{ aState.mJobs.size() })
     .With("manifest", mManifest ? mManifest->mVersion : 0);
+  for (const auto& [id, job] : aState.mJobs) {
+    LoadStored(job);
+  }
+  for (const auto& [id, worker] : aState.mWorkers) {
+    AddSession(worker).mEnlisted = true;
+  }
   for (const WorkerReport& report : aReports) {
     OnReport(report);
   }
+  for (auto& [id, worker] : mWorkers) {
+    HoldIfDue(worker, mLeadSince);
+  }
+  TrySettle(mLeadSince);
+  FlushRecords();
 }
 
 void
@@ -109,6 +122,9 @@
   mJobs.clear();
   mReady.clear();
   mEarlyEnds.clear();
+  mBatch.reset();
+  mBatchDone.reset();
+  mUnsent.clear();
 }
 
 void
@@ -140,6 +156,7 @@
     return;
   }
   (this->*kHandlers[kind])(aCall, aRequest, match);
+  FlushRecords();
 }
 
 void
@@ -158,9 +175,10 @@
     Reply(aCall, JobReplyKind::Malformed, why);
     return;
   }
-  if (!submission.mBestEffort) {
-    Reply(
-      aCall, JobReplyKind::Unavailable, "stored jobs are not served here yet");
+  if (!submission.mUnserved.empty()) {
+    Reply(aCall,
+          JobReplyKind::Unavailable,
+          "not served yet: " + submission.mUnserved);
     return;
   }
   JobPtr job = MakeJob(submission, *aMatch.mQueue);
@@ -194,7 +212,7 @@
   EventLine(mLog, "job-attached")
     .With("job", aJob.mSubmission.mId)
     .With("state", NameOf(aJob.mState));
-  if (aJob.HasEnded()) {
+  if (aJob.HasEnded() || aJob.mRecorded) {
     JobReply reply;
     reply.mKind = JobReplyKind::Accepted;
     reply.mState = aJob.mState;
@@ -217,6 +235,7 @@
 {
   auto job = std::make_unique<DispatchJob>();
   job->mSubmission = aSubmission;
+  job->mStored = !aSubmission.mBestEffort;
   job->mQueue = aQueue;
   job->mOrder = mNextOrder;
   job->mArrived = mClock.MonotonicNow();
@@ -229,6 +248,7 @@
   for (const StepSpec& step : aSubmission.mSteps) {
     job->mSteps.emplace_back(step.mCount);
     job->mOpenTasks.push_back(step.mCount);
+    job->mLongestRuns.emplace_back(0);
   }
   return job;
 }
@@ -247,6 +267,12 @@
     .With("tasks", std::uint64_t{ job.mSteps.front().size() })
     .With("expected_ms", std::int64_t{ job.mExpected.count() });
   mJobs.emplace(job.mSubmission.mId, std::move(aJob));
+  if (job.mStored) {
+    Pending([this, id = job.mSubmission.mId](bool) {
+      OnAcceptStored(id);
+    }).mAccepted.push_back({ job.mSubmission, job.mQueue });
+    return;
+  }
   for (std::uint32_t step = 0; step < job.mSteps.size(); ++step) {
     if (job.mSubmission.mSteps[step].mAfter.empty()) {
       MakeReady(job, step);
@@ -258,6 +284,27 @@
   }
 }
 
+void
+Coordinator::OnAcceptStored(const JobId& aId)
+{
+  DispatchJob* job = FindJob(aId);
+  if (job == nullptr) {
+    return;
+  }
+  job->mRecorded = true;
+  EventLine(mLog, "job-stored").With("job", aId);
+  JobReply reply;
+  reply.mKind = JobReplyKind::Accepted;
+  reply.mState = job->mState;
+  ReplyAll(*job, reply);
+  for (std::uint32_t step = 0; step < job->mSteps.size(); ++step) {
+    if (job->mSubmission.mSteps[step].mAfter.empty()) {
+      MakeReady(*job, step);
+    }
+  }
+  Schedule();
+}
+
 Backlog
 Coordinator::BacklogBefore(const DispatchJob& aJob) const
 {
@@ -272,7 +319,7 @@
   constexpr double kMilliCoresOfCore = 1000.0;
   for (const auto& [id, worker] : mWorkers) {
     const bool counts = worker.Report().mPool == aJob.mQueue.mPool &&
-                        worker.IsUsable(now) && !worker.mHealth.IsSetAside(now);
+                        worker.IsUsable() && !worker.mHealth.IsSetAside(now);
     if (counts) {
       backlog.mCores +=
         worker.Report().mCapacity.mMilliCores / kMilliCoresOfCore;
@@ -314,6 +361,10 @@
   EventLine(mLog, "job-cancelled")
     .With("job", job->mSubmission.mId)
     .With("state", NameOf(job->mState));
+  if (job->mStored && !job->HasEnded()) {
+    CancelStored(*job, aCall);
+    return;
+  }
   if (!job->HasEnded()) {
     StopRunsOf(*job);
     EndJob(*job, JobState::Cancelled);
@@ -324,6 +375,28 @@
   mReplies.Reply(aCall, reply);
 }
 
+void
+Coordinator::CancelStored(DispatchJob& aJob, CallId aCall)
+{
+  const JobId id = aJob.mSubmission.mId;
+  DropWaitingTasks(aJob);
+  StopRunsOf(aJob);
+  Pending([this, id, aCall](bool) {
+    DispatchJob* job = FindJob(id);
+    if (job == nullptr) {
+      return;
+    }
+    if (!job->HasEnded()) {
+      StopRunsOf(*job);
+      EndJob(*job, JobState::Cancelled);
+    }
+    JobReply reply;
+    reply.mKind = JobReplyKind::State;
+    reply.mState = job->mState;
+    mReplies.Reply(aCall, reply);
+  }).mCancelled.push_back(id);
+}
+
 void
 Coordinator::Count(CallId aCall, const QueueMatch& aMatch)
 {
@@ -346,7 +419,7 @@
   const QueueMatch match = FindQueue(*mManifest, aLeft.mHost, aLeft.mPath);
   DispatchJob* job =
     match.mQueue == nullptr ? nullptr : FindJob(std::string(match.mRest));
-  if (job == nullptr || job->HasEnded()) {
+  if (job == nullptr || job->HasEnded() || job->mStored) {
     return;
   }
   EventLine(mLog, "caller-left")
@@ -441,6 +514,7 @@
   Schedule();
   EnforcePatience(now);
   ForgetEnded(now);
+  FlushRecords();
 }
 
 std::size_t
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -16,6 +18,7 @@
 #include "Base/EventLog.h"
 #include "Dispatch/Admission.h"
 #include "Dispatch/DispatchJob.h"
+#include "Dispatch/DispatchState.h"
 #include "Dispatch/Placement.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Dispatch/WorkerSession.h"
@@ -31,6 +34,20 @@
   virtual void Reply(CallId aCall, const JobReply& aReply) = 0;
 };
 
+/** \brief Where the coordinator stores what later leaders must know. */
+class RecordSink
+{
+public:
+  using Done = std::function<void(bool aTakenEffect)>;
+
+  virtual ~RecordSink() = default;
+
+  /** Stores a batch; batches take effect in the order of the calls.
+   * \param aDone called once, and not from within the call; false if it is
+   *        not known whether the batch takes effect */
+  virtual void Store(const RecordBatch& aBatch, Done aDone) = 0;
+};
+
 /** \brief Times and bounds of a Coordinator. */
 struct CoordinatorOptions
 {
@@ -47,6 +64,10 @@
   /** Time for which the end of a job is remembered, for callers that ask
    * again. */
   std::chrono::milliseconds mResultsKept{ 15'000 };
+  /** The same for a job that is stored. */
+  std::chrono::milliseconds mStoredResultsKept{ 130'000 };
+  /** A worker that has not reported for so long is given up. */
+  std::chrono::milliseconds mWorkerExpiry{ 12'000 };
   std::uint64_t mSeed = 1;
 };
 
@@ -74,7 +95,9 @@
  * from its clock and sends orders through WorkerCalls, so that tests drive it
  * without a network. A leader that takes over first reads the lists of all
  * workers under its own fence, and starts nothing before it knows what earlier
- * leaders may have running. Not thread-safe. */
+ * leaders may have running: a worker is used only once it is stored that it
+ * may be. Ends of the tasks of stored jobs are stored before they are shown or
+ * acknowledged. Not thread-safe. */
 class Coordinator
 {
 public:
@@ -84,14 +107,15 @@
               const Clock& aClock,
               WorkerCalls& aCalls,
               CallReplies& aReplies,
+              RecordSink& aRecords,
               EventLog& aLog);
 
   /** Begins to lead.
-   * \param aComplete whether the reports are those of all workers, so that
-   *        nothing runs elsewhere */
+   * \param aState everything that earlier leaders have stored
+   * \param aReports what workers have said of late */
   void Lead(Fence aFence,
-            const std::vector<WorkerReport>& aReports,
-            bool aComplete);
+            const DispatchState& aState,
+            const std::vector<WorkerReport>& aReports);
   /** Stops leading and forgets all jobs and workers. Waiting calls are not
    * answered. */
   void Resign();
@@ -104,8 +128,6 @@
   void Call(CallId aCall, const JobCall& aRequest);
   void OnCallerLeft(const CallerLeft& aLeft);
   void OnReport(const WorkerReport& aReport);
-  /** A worker has been silent for long. */
-  void OnWorkerSilent(const WorkerId& aId);
   /** Advances timers; to be called every few milliseconds while there is
    * work. */
   void Tick();
@@ -135,6 +157,8 @@
   void Attach(DispatchJob& aJob, CallId aCall);
   JobPtr MakeJob(const JobSubmission& aSubmission, const Queue& aQueue) const;
   void Accept(JobPtr aJob, CallId aCall);
+  void OnAcceptStored(const JobId& aId);
+  void CancelStored(DispatchJob& aJob, CallId aCall);
   Backlog BacklogBefore(const DispatchJob& aJob) const;
   void Reply(CallId aCall, JobReplyKind aKind, std::string aMessage = {});
   void ReplyAll(DispatchJob& aJob, const JobReply& aReply);
@@ -179,9 +203,24 @@
                    const LedgerRun& aRun,
                    TimePoint aNow) const;
 
+  // What is stored (CoordinatorRecords.cxx).
+  RecordBatch& Pending(RecordSink::Done aDone);
+  void FlushRecords();
+  void Send(std::shared_ptr<RecordBatch> aBatch,
+            std::shared_ptr<std::vector<RecordSink::Done>> aDone);
+  void Enlist(const WorkerReport& aReport);
+  void RecordEnd(WorkerSession& aWorker,
+                 DispatchJob& aJob,
+                 const ListedEnd& aEnd);
+  void OnEndStored(const WorkerBoot& aBoot, const ListedEnd& aEnd);
+  void LoadStored(const StoredJob& aStored);
+  void ForgetStored(const DispatchJob& aJob);
+
   // Leases and lists (CoordinatorHolds.cxx).
   WorkerSession* SessionOf(const WorkerBoot& aBoot);
+  WorkerSession& AddSession(const WorkerReport& aReport);
   void AddWorker(const WorkerReport& aReport);
+  void DropSilentWorkers(TimePoint aNow);
   void EndSession(const WorkerId& aId, const char* aWhy);
   void Hold(WorkerSession& aWorker, bool aUrgent);
   void HoldIfDue(WorkerSession& aWorker, TimePoint aNow);
@@ -206,12 +245,12 @@
   const Clock& mClock;
   WorkerCalls& mCalls;
   CallReplies& mReplies;
+  RecordSink& mRecords;
   EventLog& mLog;
   std::mt19937_64 mRandom;
 
   bool mLeading = false;
   bool mSettled = false;
-  bool mReportsComplete = false;
   Fence mFence = 0;
   TimePoint mLeadSince{};
   std::shared_ptr<const Manifest> mManifest;
@@ -220,6 +259,13 @@
   /** Jobs with tasks that wait for room. */
   std::set<std::pair<JobOrder, JobId>> mReady;
   std::map<TaskId, EarlyEnd> mEarlyEnds;
+  std::shared_ptr<RecordBatch> mBatch;
+  std::shared_ptr<std::vector<RecordSink::Done>> mBatchDone;
+  /** Batches that were not stored, to be sent again in their order. */
+  std::deque<std::pair<std::shared_ptr<RecordBatch>,
+                       std::shared_ptr<std::vector<RecordSink::Done>>>>
+    mUnsent;
+  TimePoint mNextResend{};
   std::uint64_t mNextOrder = 0;
   TimePoint mNextSweep{};
   CoordinatorCounters mCounters;
--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -76,20 +76,26 @@
       .With("runs", std::uint64_t{ worker.Runs().size() });
   }
   worker.Update(aReport);
+  worker.mLastReport = mClock.MonotonicNow();
   if (aReport.mClockMs > 0) {
     worker.ObserveClock(aReport.mClockMs, mClock.MonotonicNow());
   }
 }
 
+WorkerSession&
+Coordinator::AddSession(const WorkerReport& aReport)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  const auto added = mWorkers.emplace(
+    aReport.mBoot.mId, WorkerSession(aReport, now, mOptions.mMaxHold));
+  return added.first->second;
+}
+
 void
 Coordinator::AddWorker(const WorkerReport& aReport)
 {
   const TimePoint now = mClock.MonotonicNow();
-  // At the start of a lead, those that are known have been known before.
-  const TimePoint seen = now == mLeadSince ? TimePoint{} : now;
-  const auto added = mWorkers.emplace(
-    aReport.mBoot.mId, WorkerSession(aReport, seen, mOptions.mMaxHold));
-  WorkerSession& worker = added.first->second;
+  WorkerSession& worker = AddSession(aReport);
   if (aReport.mClockMs > 0) {
     worker.ObserveClock(aReport.mClockMs, now);
   }
@@ -100,18 +106,23 @@
     .With("pool", aReport.mPool)
     .With("mcores", aReport.mCapacity.mMilliCores)
     .With("draining", aReport.mDraining);
+  Enlist(aReport);
   HoldIfDue(worker, now);
 }
 
 void
-Coordinator::OnWorkerSilent(const WorkerId& aId)
+Coordinator::DropSilentWorkers(TimePoint aNow)
 {
-  const auto worker = mWorkers.find(aId);
-  if (worker == mWorkers.end()) {
-    return;
+  std::vector<WorkerId> silent;
+  for (const auto& [id, worker] : mWorkers) {
+    const bool gone = worker.Report().mLeft && worker.HasLapsed(aNow);
+    const bool old = aNow - worker.mLastReport > mOptions.mWorkerExpiry;
+    if (worker.Runs().empty() && (gone || old)) {
+      silent.push_back(id);
+    }
   }
-  if (worker->second.Runs().empty()) {
-    EndSession(aId, "no report for long");
+  for (const WorkerId& id : silent) {
+    EndSession(id, "it has left or not reported for long");
   }
 }
 
@@ -130,6 +141,7 @@
   while (!worker.Runs().empty()) {
     LoseRun(worker, worker.Runs().begin()->first, aWhy);
   }
+  Pending([](bool) {}).mDismissed.push_back(worker.Report().mBoot);
   mWorkers.erase(aId);
 }
 
@@ -137,7 +149,7 @@
 Coordinator::HoldIfDue(WorkerSession& aWorker, TimePoint aNow)
 {
   const bool unacknowledged =
-    aWorker.mProcessedEnds > aWorker.mAcknowledgedEnds &&
+    aWorker.AcknowledgeableEnds() > aWorker.mAcknowledgedEnds &&
     aNow - aWorker.mEndsSince >= kAcknowledgeWithin;
   const bool wanted = !aWorker.mFenced || !aWorker.Runs().empty() ||
                       unacknowledged || aWorker.mUnanswered > 0;
@@ -159,7 +171,7 @@
   HoldOrder order;
   order.mTarget = TargetOf(aWorker);
   order.mLeaseUntil = extend ? aWorker.GrantLease(now) : 0;
-  order.mAcknowledged = aWorker.mProcessedEnds;
+  order.mAcknowledged = aWorker.AcknowledgeableEnds();
   const bool waits = !aUrgent && aWorker.mFenced && aWorker.mUnanswered == 0 &&
                      !aWorker.Runs().empty();
   order.mWait = waits ? mOptions.mHoldWait : milliseconds(0);
@@ -231,6 +243,7 @@
     Hold(worker, false);
   }
   Schedule();
+  FlushRecords();
 }
 
 void
@@ -270,6 +283,7 @@
   const LedgerRun* run = aWorker.Find(id);
   const bool present = run != nullptr && run->mNumber == aEnd.mRun.mNumber;
   const bool wasStopping = present && run->mPhase == RunPhase::Stopping;
+  const TimePoint sent = present ? run->mSentAt : TimePoint{};
   if (present) {
     aWorker.Remove(id);
   }
@@ -300,7 +314,18 @@
   if (!aEnd.mCheckpoint.empty()) {
     task->mCheckpoint = aEnd.mCheckpoint;
   }
+  const bool counts = aEnd.mEnd == RunEnd::Done ||
+                      (aEnd.mEnd == RunEnd::Failed && present && !wasStopping);
+  if (job->mStored && counts && !job->HasEnded()) {
+    RecordEnd(aWorker, *job, aEnd);
+    return;
+  }
   if (aEnd.mEnd == RunEnd::Done) {
+    if (present && !wasStopping) {
+      milliseconds& longest = job->mLongestRuns[id.mStep];
+      longest =
+        std::max(longest, std::chrono::duration_cast<milliseconds>(now - sent));
+    }
     const auto other = mWorkers.find(task->mWorker);
     if (!present && task->mPhase == TaskPhase::Assigned &&
         other != mWorkers.end()) {
@@ -445,11 +470,11 @@
   const milliseconds bound = mOptions.mMaxHold * kLapsePercent / kWhole;
   const bool lapsed = aNow - mLeadSince >= bound;
   const bool allRead =
-    mReportsComplete &&
     std::all_of(mWorkers.begin(), mWorkers.end(), [](const auto& aEntry) {
       return aEntry.second.mFenced;
     });
-  if (!lapsed && !allRead) {
+  // Without any worker, the first ones are still to report.
+  if (!lapsed && (!allRead || mWorkers.empty())) {
     return;
   }
   mSettled = true;
--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -63,7 +63,8 @@
 void
 Coordinator::RequeueTask(DispatchJob& aJob, DispatchTask& aTask)
 {
-  if (aTask.mPhase != TaskPhase::Assigned) {
+  if (aTask.mPhase != TaskPhase::Assigned &&
+      aTask.mPhase != TaskPhase::Recording) {
     return;
   }
   if (!aTask.mWorker.empty()) {
@@ -220,7 +221,8 @@
   std::map<PoolName, Resources> full;
   const auto ready = mReady;
   for (const auto& [order, id] : ready) {
-    if (DispatchJob* job = FindJob(id)) {
+    DispatchJob* job = FindJob(id);
+    if (job != nullptr && !job->HasEnded()) {
       ScheduleJob(*job, full);
     }
   }
@@ -266,6 +268,9 @@
   std::vector<DispatchJob*> useless;
   for (const auto& [order, id] : mReady) {
     DispatchJob& job = *mJobs.at(id);
+    if (job.mStored) {
+      continue;
+    }
     const auto waited = aNow - job.mArrived;
     const bool untouched = !job.mStarted && !job.mMayHaveRun;
     if (untouched && waited > Admission::PatienceOf(job)) {
@@ -300,12 +305,15 @@
     return;
   }
   mNextSweep = aNow + kSweepInterval;
+  DropSilentWorkers(aNow);
   for (auto entry = mJobs.begin(); entry != mJobs.end();) {
     const DispatchJob& job = *entry->second;
-    const bool ended =
-      job.HasEnded() && aNow - job.mEnded > mOptions.mResultsKept;
-    const bool abandoned = job.mAbandoned && !job.HasEnded();
+    const milliseconds kept =
+      job.mStored ? mOptions.mStoredResultsKept : mOptions.mResultsKept;
+    const bool ended = job.HasEnded() && aNow - job.mEnded > kept;
+    const bool abandoned = job.mAbandoned && !job.HasEnded() && !job.mStored;
     if (job.mAssignedTasks == 0 && (ended || abandoned)) {
+      ForgetStored(job);
       entry = mJobs.erase(entry);
       continue;
     }
--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -28,13 +28,7 @@
 
 /** A worker that is silent for so many intervals of its reports is forgotten;
  * its lease has long ended then. */
-constexpr int kIntervalsToForget = 8;
-
-/** Gap without a leader that an instance may have and still know of all
- * workers: an election. */
-constexpr milliseconds kContactGap{ 1500 };
-/** Contact after which it knows of all workers again: two reports of each. */
-constexpr int kIntervalsOfContact = 2;
+constexpr int kIntervalsToForget = 4;
 
 /** Heartbeats and elections: a lost leader is replaced before the leases of the
  * workers, at most a second, have ended. */
@@ -71,6 +65,7 @@
   CoordinatorOptions options;
   options.mMaxHold = aSettings.mMaxHold;
   options.mHoldWait = aSettings.mMaxHold * 3 / 10;
+  options.mWorkerExpiry = aSettings.mWorkerReport * kIntervalsToForget;
   options.mSeed = std::random_device{}();
   return options;
 }
@@ -93,6 +88,7 @@
                  aParts.mClock,
                  mLeasedCalls,
                  *this,
+                 *this,
                  aParts.mLog)
   , mExchange(
       aParts.mClock,
@@ -252,7 +248,8 @@
 }
 
 void
-CoordinatorNode::PutManifest(const Manifest& aManifest, Done aDone)
+CoordinatorNode::PutManifest(const Manifest& aManifest,
+                             ControlService::Done aDone)
 {
   EventLine(mLog, "manifest-received")
     .With("version", aManifest.mVersion)
@@ -284,7 +281,8 @@
         done(aPassed.error());
         return;
       }
-      const std::shared_ptr<const Manifest> current = mMachine.Current();
+      const std::shared_ptr<const Manifest> current =
+        mMachine.CurrentManifest();
       if (!current) {
         done(Error(ErrorKind::NotFound, "no manifest has been stored yet"));
         return;
@@ -318,9 +316,7 @@
   }
   if (now >= mNextExpiry) {
     mNextExpiry = now + kExpiryInterval;
-    for (const WorkerId& id : mDirectory.Expire(now)) {
-      mCoordinator.OnWorkerSilent(id);
-    }
+    mDirectory.Expire(now);
   }
   FollowLead();
   mExchange.Tick();
@@ -333,14 +329,7 @@
 void
 CoordinatorNode::FollowLead()
 {
-  const Clock::Monotonic now = mClock.MonotonicNow();
   const std::optional<InstanceName> leader = mGroup->Leader();
-  if (leader) {
-    if (now - mLastContact > kContactGap) {
-      mContactSince = now;
-    }
-    mLastContact = now;
-  }
   const Term term = mGroup->CurrentTerm();
   const bool leads = leader == mSelf && term > 0;
   if (mCoordinator.IsLeading() && (!leads || term != mLedTerm)) {
@@ -349,11 +338,50 @@
   if (!leads || mCoordinator.IsLeading() || !mGroup->IsLeader() || mDraining) {
     return;
   }
-  mLedTerm = term;
-  const bool complete =
-    mExchange.IsComplete(mSettings.mWorkerReport) &&
-    now - mContactSince >= mSettings.mWorkerReport * kIntervalsOfContact;
-  mCoordinator.Lead(term, mDirectory.All(), complete);
+  if (mBeginningTerm != term) {
+    BeginLead(term);
+  }
+}
+
+// Once the fence is stored, nothing that an earlier leader still sends to the
+// group changes the state that this one begins with.
+void
+CoordinatorNode::BeginLead(Term aTerm)
+{
+  mBeginningTerm = aTerm;
+  RecordBatch begin;
+  begin.mFence = aTerm;
+  Store(begin,
+        [this, aTerm](bool aTakenEffect) { OnLeadBegun(aTerm, aTakenEffect); });
+}
+
+void
+CoordinatorNode::OnLeadBegun(Term aTerm, bool aTakenEffect)
+{
+  const bool leads = mGroup->Leader() == mSelf && mGroup->IsLeader() &&
+                     mGroup->CurrentTerm() == aTerm && !mDraining;
+  mBeginningTerm = 0;
+  if (!aTakenEffect || !leads || mCoordinator.IsLeading()) {
+    return;
+  }
+  mLedTerm = aTerm;
+  const DispatchState state = mMachine.CurrentState();
+  if (state.mManifest) {
+    mCoordinator.SetManifest(state.mManifest);
+  }
+  mCoordinator.Lead(aTerm, state, mDirectory.All());
+}
+
+void
+CoordinatorNode::Store(const RecordBatch& aBatch, RecordSink::Done aDone)
+{
+  mGroup->Propose(
+    DispatchStateMachine::CommandOf(aBatch),
+    [this, done = std::move(aDone)](const Result<std::string>& aResult) {
+      const bool taken =
+        aResult && DispatchStateMachine::HasTakenEffect(aResult.value());
+      asio::post(mContext, [done, taken] { done(taken); });
+    });
 }
 
 void
--- a/Source/Dispatch/CoordinatorNode.h
+++ b/Source/Dispatch/CoordinatorNode.h
@@ -46,6 +46,7 @@
 class CoordinatorNode
   : public ControlService
   , public CallReplies
+  , public RecordSink
 {
 public:
   CoordinatorNode(const NodeSettings& aSettings,
@@ -68,10 +69,12 @@
 
   void Report(const WorkerReport& aReport) override;
   void OnWorkerLeft(const WorkerId& aId) override;
-  void PutManifest(const Manifest& aManifest, Done aDone) override;
+  void PutManifest(const Manifest& aManifest,
+                   ControlService::Done aDone) override;
   void ReadManifest(ManifestDone aDone) override;
 
   void Reply(CallId aCall, const JobReply& aReply) override;
+  void Store(const RecordBatch& aBatch, RecordSink::Done aDone) override;
 
   const Coordinator& Decisions() const { return mCoordinator; }
   CoreStatus GroupStatus() const { return mGroup->Status(); }
@@ -86,6 +89,8 @@
   void ScheduleTick();
   void Tick();
   void FollowLead();
+  void BeginLead(Term aTerm);
+  void OnLeadBegun(Term aTerm, bool aTakenEffect);
   void Resign();
   std::set<InstanceName> Peers() const;
   void UpdatePeers();
@@ -111,6 +116,8 @@
   std::map<CallId, PeerRpc::Done> mOpenCalls;
   CallId mNextCall = 1;
   Term mLedTerm = 0;
+  /** Term for which the beginning of the lead is being stored. */
+  Term mBeginningTerm = 0;
   bool mDraining = false;
   std::set<InstanceName> mSeeds;
   /** Coordinators that this one has had contact with, and when. */
@@ -119,9 +126,6 @@
   std::map<InstanceName, Clock::Monotonic> mNamedPeers;
   Clock::Monotonic mNextPeerUpdate{};
   Clock::Monotonic mNextExpiry{};
-  /** Since when this instance has known a leader without a long gap. */
-  Clock::Monotonic mContactSince{};
-  Clock::Monotonic mLastContact{};
 };
 
 }
--- /dev/null
+++ b/Source/Dispatch/CoordinatorRecords.cxx
@@ -0,0 +1,206 @@
+// What later leaders must know: accepted jobs, ends of their tasks, and the
+// workers on which something may run.
+#include "Dispatch/Coordinator.h"
+
+#include <algorithm>
+
+namespace almondspoke::dispatch {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/** Pause before a batch is sent again whose fate is not known. */
+constexpr milliseconds kResendAfter{ 100 };
+
+std::int64_t
+WallMilliseconds(const Clock& aClock)
+{
+  return duration_cast<milliseconds>(aClock.WallNow().time_since_epoch())
+    .count();
+}
+
+}
+
+RecordBatch&
+Coordinator::Pending(RecordSink::Done aDone)
+{
+  if (!mBatch) {
+    mBatch = std::make_shared<RecordBatch>();
+    mBatchDone = std::make_shared<std::vector<RecordSink::Done>>();
+  }
+  mBatchDone->push_back(std::move(aDone));
+  return *mBatch;
+}
+
+void
+Coordinator::FlushRecords()
+{
+  if (!mLeading) {
+    return;
+  }
+  // Later batches wait for earlier ones, so that all take effect in order.
+  if (!mUnsent.empty()) {
+    if (mClock.MonotonicNow() < mNextResend) {
+      return;
+    }
+    auto unsent = std::move(mUnsent);
+    mUnsent.clear();
+    for (auto& [batch, done] : unsent) {
+      Send(batch, done);
+    }
+  }
+  if (!mBatch) {
+    return;
+  }
+  mBatch->mFence = mFence;
+  mBatch->mTimeMs = WallMilliseconds(mClock);
+  const auto batch = std::move(mBatch);
+  const auto done = std::move(mBatchDone);
+  mBatch.reset();
+  mBatchDone.reset();
+  Send(batch, done);
+}
+
+void
+Coordinator::Send(std::shared_ptr<RecordBatch> aBatch,
+                  std::shared_ptr<std::vector<RecordSink::Done>> aDone)
+{
+  mRecords.Store(
+    *aBatch, [this, fence = mFence, aBatch, aDone](bool aTakenEffect) {
+      if (!mLeading || fence != mFence) {
+        return;
+      }
+      if (!aTakenEffect) {
+        EventLine(mLog, "records-not-stored")
+          .With("fence", fence)
+          .With("accepted", std::uint64_t{ aBatch->mAccepted.size() })
+          .With("ends", std::uint64_t{ aBatch->mEnds.size() });
+        mUnsent.emplace_back(aBatch, aDone);
+        mNextResend = mClock.MonotonicNow() + kResendAfter;
+        return;
+      }
+      for (const RecordSink::Done& done : *aDone) {
+        done(true);
+      }
+      FlushRecords();
+    });
+}
+
+void
+Coordinator::Enlist(const WorkerReport& aReport)
+{
+  Pending([this, boot = aReport.mBoot](bool) {
+    if (WorkerSession* worker = SessionOf(boot)) {
+      worker->mEnlisted = true;
+      Schedule();
+    }
+  }).mEnlisted.push_back(aReport);
+}
+
+void
+Coordinator::RecordEnd(WorkerSession& aWorker,
+                       DispatchJob& aJob,
+                       const ListedEnd& aEnd)
+{
+  const TaskId& id = aEnd.mRun.mTask;
+  DispatchTask& task = *aJob.Task(id);
+  if (task.mPhase == TaskPhase::Done || task.mPhase == TaskPhase::Recording) {
+    return;
+  }
+  const auto other = mWorkers.find(task.mWorker);
+  if (task.mPhase == TaskPhase::Assigned && other != mWorkers.end()) {
+    // Present only if this is the end of an earlier run.
+    if (LedgerRun* second = other->second.Find(id)) {
+      StopRun(other->second, id, *second);
+    }
+  }
+  ReleaseTask(aJob, task, TaskPhase::Recording);
+  aJob.mStarted = true;
+  aWorker.mUnstoredEnds.insert(aEnd.mNumber);
+  EndRecord record;
+  record.mJob = id.mJob;
+  record.mStep = id.mStep;
+  record.mIndex = id.mIndex;
+  record.mRun = aEnd.mRun.mNumber;
+  record.mDone = aEnd.mEnd == RunEnd::Done;
+  record.mCheckpoint = aEnd.mCheckpoint;
+  Pending([this, boot = aWorker.Report().mBoot, end = aEnd](bool) {
+    OnEndStored(boot, end);
+  }).mEnds.push_back(std::move(record));
+}
+
+void
+Coordinator::OnEndStored(const WorkerBoot& aBoot, const ListedEnd& aEnd)
+{
+  if (WorkerSession* worker = SessionOf(aBoot)) {
+    worker->mUnstoredEnds.erase(aEnd.mNumber);
+  }
+  DispatchJob* job = FindJob(aEnd.mRun.mTask.mJob);
+  if (job == nullptr || job->HasEnded()) {
+    return;
+  }
+  if (aEnd.mEnd == RunEnd::Done) {
+    FinishTask(*job, aEnd.mRun.mTask);
+  } else {
+    FailTask(*job, aEnd.mRun.mTask);
+  }
+  Schedule();
+}
+
+void
+Coordinator::LoadStored(const StoredJob& aStored)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  JobPtr job = MakeJob(aStored.mSubmission, aStored.mQueue);
+  const milliseconds age(
+    std::max<std::int64_t>(0, WallMilliseconds(mClock) - aStored.mAcceptedMs));
+  job->mArrived -= age;
+  job->mObjective -= age;
+  job->mOrder = mNextOrder++;
+  job->mRecorded = true;
+  job->mState = aStored.mState;
+  DispatchJob& loaded = *job;
+  mJobs.emplace(aStored.mSubmission.mId, std::move(job));
+  if (loaded.HasEnded()) {
+    const milliseconds since(
+      std::max<std::int64_t>(0, WallMilliseconds(mClock) - aStored.mEndedMs));
+    loaded.mEnded = now - since;
+    return;
+  }
+  for (std::uint32_t step = 0; step < loaded.mSteps.size(); ++step) {
+    for (std::uint32_t index = 0; index < loaded.mSteps[step].size(); ++index) {
+      const StoredTask& stored = aStored.mTasks[step][index];
+      DispatchTask& task = loaded.mSteps[step][index];
+      task.mFailures = stored.mFailures;
+      task.mLastRun = stored.mLastEnded;
+      task.mCheckpoint = stored.mCheckpoint;
+      if (stored.mDone) {
+        task.mPhase = TaskPhase::Done;
+        --loaded.mOpenTasks[step];
+        loaded.mStarted = true;
+      }
+    }
+  }
+  for (std::uint32_t step = 0; step < loaded.mSteps.size(); ++step) {
+    const auto& after = loaded.mSubmission.mSteps[step].mAfter;
+    const bool due =
+      std::all_of(after.begin(), after.end(), [&](std::uint32_t aEarlier) {
+        return loaded.mOpenTasks[aEarlier] == 0;
+      });
+    if (due) {
+      MakeReady(loaded, step);
+    }
+  }
+}
+
+void
+Coordinator::ForgetStored(const DispatchJob& aJob)
+{
+  if (aJob.mStored) {
+    Pending([](bool) {}).mForgotten.push_back(aJob.mSubmission.mId);
+  }
+}
+
+}
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -25,9 +25,21 @@
 constexpr milliseconds kStopRetry{ 100 };
 
 /** A run counts as a straggler if its rate of progress leads to more than so
- * many times its expected duration, and this much more. */
-constexpr int kStragglerFactor = 3;
-constexpr milliseconds kStragglerSlack{ 100 };
+ * many times the longest run of its step, or of the declared duration, which
+ * is a rough guess. */
+constexpr int kSlowerThanStep = 3;
+constexpr int kSlowerThanDeclared = 8;
+
+/** No run is judged before this part of the expected duration, in percent, and
+ * this time; both leave room for a list that is not new. */
+constexpr int kJudgedAfterPercent = 120;
+constexpr milliseconds kJudgedAfter{ 60 };
+
+/** Runs of one task that may be stopped as too slow: a task that is slow on
+ * every worker is a long one. */
+constexpr std::uint32_t kMaxSlowRuns = 2;
+
+constexpr int kWhole = 100;
 
 }
 
@@ -296,19 +308,24 @@
                          const LedgerRun& aRun,
                          TimePoint aNow) const
 {
-  if (aRun.mPhase != RunPhase::Running || aRun.mOrphan) {
+  const DispatchTask& task = aJob.mSteps[aTask.mStep][aTask.mIndex];
+  if (aRun.mPhase != RunPhase::Running || aRun.mOrphan ||
+      task.mSlowRuns >= kMaxSlowRuns) {
     return false;
   }
-  const milliseconds expected(aJob.Step(aTask).mEstimateMs);
-  const milliseconds bound = expected * kStragglerFactor + kStragglerSlack;
-  const auto ran = aNow - aRun.mSentAt;
-  if (ran < bound / 2 || aRun.mPercentAt < aRun.mSentAt + bound / 3) {
+  const milliseconds longest = aJob.mLongestRuns[aTask.mStep];
+  const bool known = longest.count() > 0;
+  const milliseconds expected =
+    known ? longest : milliseconds(aJob.Step(aTask).mEstimateMs);
+  const auto judged = expected * kJudgedAfterPercent / kWhole + kJudgedAfter;
+  const auto seen = aRun.mPercentAt - aRun.mSentAt;
+  if (seen < judged || aRun.mPercent >= kWhole) {
     return false;
   }
-  constexpr int kWhole = 100;
-  const auto seen = aRun.mPercentAt - aRun.mSentAt;
   const auto whole = seen * kWhole / std::max<int>(1, aRun.mPercent);
-  return whole > bound && whole - ran > expected + kStragglerSlack;
+  const auto left = whole - (aNow - aRun.mSentAt);
+  return whole > expected * (known ? kSlowerThanStep : kSlowerThanDeclared) &&
+         left > expected + kJudgedAfter;
 }
 
 void
@@ -318,11 +335,12 @@
     return;
   }
   for (auto& [task, run] : aWorker.Runs()) {
-    const DispatchJob* job = FindJob(task.mJob);
+    DispatchJob* job = FindJob(task.mJob);
     if (job == nullptr || !IsStraggler(*job, task, run, aNow)) {
       continue;
     }
     ++mCounters.mStragglers;
+    ++job->Task(task)->mSlowRuns;
     EventLine(mLog, "run-too-slow")
       .With("job", task.mJob)
       .With("step", task.mStep)
--- a/Source/Dispatch/DispatchJob.h
+++ b/Source/Dispatch/DispatchJob.h
@@ -24,6 +24,8 @@
   Ready,
   /** A run of it is, or may be, on a worker. */
   Assigned,
+  /** A run has ended, and that is being stored. */
+  Recording,
   Done
 };
 
@@ -39,6 +41,8 @@
   /** Workers that earlier runs ended badly on. */
   std::vector<WorkerId> mAvoided;
   std::string mCheckpoint;
+  /** Runs that were stopped because they were far too slow. */
+  std::uint32_t mSlowRuns = 0;
 };
 
 /** \brief One job that the leader knows, with its tasks and the calls that wait
@@ -59,6 +63,10 @@
   JobState mState = JobState::Queued;
   TimePoint mEnded{};
   bool mStarted = false;
+  /** True for a job that is stored, and is carried out whatever happens. */
+  bool mStored = false;
+  /** True once the acceptance of a stored job is certain. */
+  bool mRecorded = false;
   /** True if an earlier leader may have started tasks of it: it is never said
    * to be not run. */
   bool mMayHaveRun = false;
@@ -69,6 +77,8 @@
   std::set<CallId> mWaiters;
   std::size_t mReadyTasks = 0;
   std::size_t mAssignedTasks = 0;
+  /** Longest run of each step that has ended well; zero before the first. */
+  std::vector<std::chrono::milliseconds> mLongestRuns;
 
   bool HasEnded() const
   {
--- a/Source/Dispatch/DispatchStateMachine.cxx
+++ b/Source/Dispatch/DispatchStateMachine.cxx
@@ -8,6 +8,24 @@
 
 namespace almondspoke::dispatch {
 
+namespace {
+
+/** First byte of a command. */
+constexpr char kManifestCommand = 'M';
+constexpr char kBatchCommand = 'B';
+
+constexpr const char* kTaken = "taken";
+constexpr const char* kOutdated = "outdated";
+
+template<typename Message>
+std::string
+CommandWith(char aKind, const Message& aMessage)
+{
+  return aKind + PackMessage(aMessage);
+}
+
+}
+
 DispatchStateMachine::DispatchStateMachine(Observer aObserver)
   : mObserver(std::move(aObserver))
 {
@@ -16,61 +34,95 @@
 std::string
 DispatchStateMachine::CommandOf(const Manifest& aManifest)
 {
-  return PackMessage(aManifest);
+  return CommandWith(kManifestCommand, aManifest);
+}
+
+std::string
+DispatchStateMachine::CommandOf(const RecordBatch& aBatch)
+{
+  return CommandWith(kBatchCommand, aBatch);
+}
+
+bool
+DispatchStateMachine::HasTakenEffect(const std::string& aResponse)
+{
+  return aResponse == kTaken;
 }
 
 std::string
 DispatchStateMachine::Apply(LogIndex aIndex, std::string_view aCommand)
 {
-  Result<Manifest> manifest = UnpackMessage<Manifest>(aCommand);
-  if (!manifest) {
-    LOG(ERROR) << "entry " << aIndex
-               << " is no manifest: " << manifest.error().Message();
-    return {};
+  const char kind = aCommand.empty() ? '\0' : aCommand.front();
+  aCommand.remove_prefix(aCommand.empty() ? 0 : 1);
+  if (kind == kManifestCommand) {
+    const Result<Manifest> manifest = UnpackMessage<Manifest>(aCommand);
+    if (manifest) {
+      return ApplyManifest(manifest.value());
+    }
+  }
+  if (kind == kBatchCommand) {
+    const Result<RecordBatch> batch = UnpackMessage<RecordBatch>(aCommand);
+    if (batch) {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      return ApplyBatch(mState, batch.value()) ? kTaken : kOutdated;
+    }
   }
-  const std::shared_ptr<const Manifest> current = Current();
-  const std::uint64_t version = current ? current->mVersion : 0;
-  if (manifest.value().mVersion > version) {
-    Replace(std::make_shared<const Manifest>(std::move(manifest.value())));
+  LOG(ERROR) << "entry " << aIndex << " is no command of this state machine";
+  return {};
+}
+
+std::string
+DispatchStateMachine::ApplyManifest(const Manifest& aManifest)
+{
+  std::shared_ptr<const Manifest> manifest;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    const std::uint64_t version =
+      mState.mManifest ? mState.mManifest->mVersion : 0;
+    if (aManifest.mVersion <= version) {
+      return kTaken;
+    }
+    manifest = std::make_shared<const Manifest>(aManifest);
+    mState.mManifest = manifest;
   }
-  return std::to_string(Current()->mVersion);
+  mObserver(std::move(manifest));
+  return kTaken;
 }
 
 std::string
 DispatchStateMachine::TakeSnapshot() const
 {
-  const std::shared_ptr<const Manifest> current = Current();
-  return PackMessage(current ? *current : Manifest{});
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return PackState(mState);
 }
 
 Result<void>
 DispatchStateMachine::RestoreSnapshot(std::string_view aSnapshot)
 {
-  BOOST_OUTCOME_TRY(manifest, UnpackMessage<Manifest>(aSnapshot));
-  if (manifest.mVersion == 0) {
+  BOOST_OUTCOME_TRY(state, UnpackState(aSnapshot));
+  const std::shared_ptr<const Manifest> manifest = state.mManifest;
+  {
     const std::lock_guard<std::mutex> lock(mMutex);
-    mManifest.reset();
-    return Success();
+    mState = std::move(state);
+  }
+  if (manifest) {
+    mObserver(manifest);
   }
-  Replace(std::make_shared<const Manifest>(std::move(manifest)));
   return Success();
 }
 
 std::shared_ptr<const Manifest>
-DispatchStateMachine::Current() const
+DispatchStateMachine::CurrentManifest() const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return mManifest;
+  return mState.mManifest;
 }
 
-void
-DispatchStateMachine::Replace(std::shared_ptr<const Manifest> aManifest)
+DispatchState
+DispatchStateMachine::CurrentState() const
 {
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    mManifest = aManifest;
-  }
-  mObserver(std::move(aManifest));
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mState;
 }
 
 }
--- a/Source/Dispatch/DispatchStateMachine.h
+++ b/Source/Dispatch/DispatchStateMachine.h
@@ -6,14 +6,14 @@
 #include <string>
 
 #include "Consensus/StateMachine.h"
-#include "Dispatch/Manifest.h"
+#include "Dispatch/DispatchState.h"
 
 namespace almondspoke::dispatch {
 
-/** \brief What the instances that can lead agree on: the manifest in force.
+/** \brief Replicates a DispatchState.
  *
  * A manifest takes the place of the one before if its version is higher; any
- * other changes nothing. Apply() is called on the group's thread, Current()
+ * other changes nothing. Apply() is called on the group's thread, the getters
  * from any. */
 class DispatchStateMachine : public StateMachine
 {
@@ -24,20 +24,24 @@
   explicit DispatchStateMachine(Observer aObserver);
 
   static std::string CommandOf(const Manifest& aManifest);
+  static std::string CommandOf(const RecordBatch& aBatch);
+  /** Whether the response to a RecordBatch says that it has taken effect. */
+  static bool HasTakenEffect(const std::string& aResponse);
 
   std::string Apply(LogIndex aIndex, std::string_view aCommand) override;
   std::string TakeSnapshot() const override;
   Result<void> RestoreSnapshot(std::string_view aSnapshot) override;
 
   /** The manifest in force, or null before the first. */
-  std::shared_ptr<const Manifest> Current() const;
+  std::shared_ptr<const Manifest> CurrentManifest() const;
+  DispatchState CurrentState() const;
 
 private:
-  void Replace(std::shared_ptr<const Manifest> aManifest);
+  std::string ApplyManifest(const Manifest& aManifest);
 
   const Observer mObserver;
   mutable std::mutex mMutex;
-  std::shared_ptr<const Manifest> mManifest;
+  DispatchState mState;
 };
 
 }
--- a/Source/Dispatch/Gateway.cxx
+++ b/Source/Dispatch/Gateway.cxx
@@ -14,7 +14,7 @@
 
 /** Time for which a call that reached no leader is kept, so that a change of
  * the leader without a gap is not noticed. */
-constexpr milliseconds kLeaderPatience{ 150 };
+constexpr milliseconds kLeaderPatience{ 30 };
 
 /** When callers may come back that found no leader: an election with the
  * reading of all workers' lists, spread over twice that time. */
@@ -185,6 +185,14 @@
   }
 }
 
+void
+Gateway::AnswerAll()
+{
+  while (!mCalls.empty()) {
+    GiveUp(mCalls.begin()->first, mCalls.begin()->second);
+  }
+}
+
 void
 Gateway::OnCallerLeft(const CallerLeft& aLeft)
 {
--- a/Source/Dispatch/Gateway.h
+++ b/Source/Dispatch/Gateway.h
@@ -47,6 +47,9 @@
   /** Sends again what waits for a leader, and gives up what is due. */
   void Tick();
 
+  /** Gives up all open calls. */
+  void AnswerAll();
+
   /** Calls that have not been replied to. */
   std::size_t OpenCalls() const { return mCalls.size(); }
   const GatewayCounters& Counters() const { return mCounters; }
--- a/Source/Dispatch/GatewayNode.h
+++ b/Source/Dispatch/GatewayNode.h
@@ -31,6 +31,9 @@
   /** From now on not ready; requests are still served. */
   void StartDraining();
 
+  /** Answers all open calls as of unknown outcome. */
+  void AnswerAll() { mGateway.AnswerAll(); }
+
   void AddSeeds(const NodeSettings& aSettings);
 
   JobService& Jobs() { return mGateway; }
--- a/Source/Dispatch/JobMessages.h
+++ b/Source/Dispatch/JobMessages.h
@@ -145,7 +145,6 @@
 inline constexpr const char* kCallerLeftMethod = "dispatch.caller-left";
 inline constexpr const char* kLeaderMethod = "dispatch.leader";
 inline constexpr const char* kReportsMethod = "dispatch.reports";
-inline constexpr const char* kAllReportsMethod = "dispatch.all-reports";
 
 }
 
--- a/Source/Dispatch/JobSubmission.h
+++ b/Source/Dispatch/JobSubmission.h
@@ -83,8 +83,10 @@
   std::vector<StepSpec> mSteps;
   /** The job is answered when it has ended, and need not be stored. */
   bool mBestEffort = false;
+  /** What the job asks for that this version does not do; empty if nothing. */
+  std::string mUnserved;
 
-  MSGPACK_DEFINE(mId, mPayload, mSteps, mBestEffort)
+  MSGPACK_DEFINE(mId, mPayload, mSteps, mBestEffort, mUnserved)
 };
 
 /** \brief Name of one task of a job. */
--- a/Source/Dispatch/Placement.cxx
+++ b/Source/Dispatch/Placement.cxx
@@ -51,7 +51,7 @@
                      bool aSetAside)
 {
   const StepSpec& step = aJob.Step(aTask);
-  if (aWorker.Report().mPool != aJob.mQueue.mPool || !aWorker.IsUsable(aNow) ||
+  if (aWorker.Report().mPool != aJob.mQueue.mPool || !aWorker.IsUsable() ||
       !aWorker.HasRoomFor(step.mNeeds) ||
       !HasLabel(aWorker.Report(), step.mRequiredLabel)) {
     return false;
--- a/Source/Dispatch/ReportExchange.cxx
+++ b/Source/Dispatch/ReportExchange.cxx
@@ -13,13 +13,8 @@
 
 /** Reports are collected for so long before they are sent on. */
 constexpr milliseconds kBatch{ 25 };
-constexpr milliseconds kAskInterval{ 300 };
 constexpr milliseconds kTimeout{ 500 };
 
-/** Intervals of reports after which each worker has reported, also through a
- * lost report. */
-constexpr int kIntervalsToComplete = 3;
-
 /** \brief Reports on their way between two coordinators. */
 struct ReportBatch
 {
@@ -41,7 +36,6 @@
   , mDirectory(aDirectory)
   , mSelf(std::move(aSelf))
   , mObserver(std::move(aObserver))
-  , mStarted(aClock.MonotonicNow())
 {
 }
 
@@ -53,10 +47,6 @@
     [this](const InstanceName&,
            const std::string& aRequest,
            const PeerRpc::Done& aDone) { OnReports(aRequest, aDone); });
-  mRpc.Register(kAllReportsMethod,
-                [this](const InstanceName&,
-                       const std::string&,
-                       const PeerRpc::Done& aDone) { OnAllReports(aDone); });
 }
 
 void
@@ -90,9 +80,6 @@
 ReportExchange::Tick()
 {
   const TimePoint now = mClock.MonotonicNow();
-  if (!mHasAll && !mAsking && now >= mNextAsk && !mPeers.empty()) {
-    AskForAll();
-  }
   if (mNews.empty() || now < mNextSend) {
     return;
   }
@@ -108,44 +95,6 @@
   }
 }
 
-bool
-ReportExchange::IsComplete(milliseconds aReportInterval) const
-{
-  return mHasAll || mClock.MonotonicNow() - mStarted >=
-                      aReportInterval * kIntervalsToComplete;
-}
-
-void
-ReportExchange::AskForAll()
-{
-  auto peer = mPeers.begin();
-  std::advance(peer, mNextPeer++ % mPeers.size());
-  mAsking = true;
-  mNextAsk = mClock.MonotonicNow() + kAskInterval;
-  mRpc.Call(*peer,
-            kAllReportsMethod,
-            {},
-            kTimeout,
-            [this](const Result<std::string>& aAnswer) { TakeAll(aAnswer); });
-}
-
-void
-ReportExchange::TakeAll(const Result<std::string>& aAnswer)
-{
-  mAsking = false;
-  if (!aAnswer) {
-    return;
-  }
-  const Result<ReportBatch> batch = UnpackMessage<ReportBatch>(aAnswer.value());
-  if (!batch) {
-    EventLine(mLog, "reports-malformed")
-      .With("reason", batch.error().Message());
-    return;
-  }
-  TakeNews(batch.value().mReports);
-  mHasAll = !batch.value().mReports.empty();
-}
-
 void
 ReportExchange::TakeNews(const std::vector<WorkerReport>& aReports)
 {
@@ -170,15 +119,4 @@
   aDone(std::string());
 }
 
-void
-ReportExchange::OnAllReports(const PeerRpc::Done& aDone)
-{
-  // One that may lack workers itself does not vouch for a complete list.
-  ReportBatch batch;
-  if (mHasAll || mClock.MonotonicNow() - mStarted > std::chrono::seconds(3)) {
-    batch.mReports = mDirectory.All();
-  }
-  aDone(PackMessage(batch));
-}
-
 }
--- a/Source/Dispatch/ReportExchange.h
+++ b/Source/Dispatch/ReportExchange.h
@@ -18,8 +18,7 @@
 
 /** \brief Keeps the directories of workers of all coordinators alike.
  *
- * Reports that come in here go to the other coordinators in batches. An
- * instance that starts asks one of the others for all that it knows. Not
+ * Reports that come in here go to the other coordinators in batches. Not
  * thread-safe. */
 class ReportExchange
 {
@@ -48,15 +47,8 @@
 
   void Tick();
 
-  /** Whether all workers known to another coordinator are known here, or must
-   * have reported since the start. */
-  bool IsComplete(std::chrono::milliseconds aReportInterval) const;
-
 private:
   void OnReports(const std::string& aRequest, const PeerRpc::Done& aDone);
-  void OnAllReports(const PeerRpc::Done& aDone);
-  void AskForAll();
-  void TakeAll(const Result<std::string>& aAnswer);
   void TakeNews(const std::vector<WorkerReport>& aReports);
 
   const Clock& mClock;
@@ -65,14 +57,9 @@
   WorkerDirectory& mDirectory;
   const InstanceName mSelf;
   const Observer mObserver;
-  const TimePoint mStarted;
   std::set<InstanceName> mPeers;
   std::vector<WorkerReport> mNews;
   TimePoint mNextSend{};
-  TimePoint mNextAsk{};
-  bool mHasAll = false;
-  bool mAsking = false;
-  std::size_t mNextPeer = 0;
 };
 
 }
--- a/Source/Dispatch/WorkerSession.cxx
+++ b/Source/Dispatch/WorkerSession.cxx
@@ -15,10 +15,6 @@
  * resolution of clocks and timers. */
 constexpr std::chrono::milliseconds kLapseMargin{ 30 };
 
-/** Time that a report has to reach all instances that may lead. A worker that
- * only a former leader knew may hold runs that this leader cannot see. */
-constexpr std::chrono::milliseconds kReportSpread{ 400 };
-
 std::chrono::milliseconds
 SinceAt(Clock::Monotonic aThen, Clock::Monotonic aNow)
 {
@@ -30,7 +26,7 @@
 WorkerSession::WorkerSession(WorkerReport aReport,
                              TimePoint aNow,
                              std::chrono::milliseconds aMaxHold)
-  : mFirstSeen(aNow)
+  : mLastReport(aNow)
   , mReport(std::move(aReport))
   , mMaxHold(aMaxHold)
 {
@@ -120,10 +116,16 @@
 }
 
 bool
-WorkerSession::IsUsable(TimePoint aNow) const
+WorkerSession::IsUsable() const
+{
+  return mEnlisted && mFenced && mUnanswered == 0 && !mReport.mDraining &&
+         !mReport.mLeft;
+}
+
+std::uint64_t
+WorkerSession::AcknowledgeableEnds() const
 {
-  return mFenced && mUnanswered == 0 && !mReport.mDraining && !mReport.mLeft &&
-         aNow - mFirstSeen >= kReportSpread;
+  return mUnstoredEnds.empty() ? mProcessedEnds : *mUnstoredEnds.begin() - 1;
 }
 
 }
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <set>
 
 #include "Base/Clock.h"
 #include "Dispatch/WorkerCalls.h"
@@ -83,8 +83,16 @@
   bool HasRoomFor(const Resources& aNeeds) const;
   Resources Free() const;
   /** Whether new runs may start here, apart from room. */
-  bool IsUsable(TimePoint aNow) const;
+  bool IsUsable() const;
 
+  /** Ends up to this number may be forgotten by the worker. */
+  std::uint64_t AcknowledgeableEnds() const;
+
+  /** True once it is stored that something may be started here, so that each
+   * later leader knows where to look. */
+  bool mEnlisted = false;
+  /** Ends that have been processed and are not stored yet. */
+  std::set<std::uint64_t> mUnstoredEnds;
   /** True once the worker has answered under this leader's fence, so that no
    * earlier leader's order can have an effect any more. */
   bool mFenced = false;
@@ -101,7 +109,7 @@
   TimePoint mEndsSince{};
   std::size_t mOrphans = 0;
   WorkerHealth mHealth;
-  const TimePoint mFirstSeen;
+  TimePoint mLastReport{};
 
 private:
   WorkerReport mReport;
