--- /dev/null
+++ b/Tests/Dispatch/CoordinatorSeededTest.cxx
@@ -0,0 +1,166 @@
+#include <array>
+#include <functional>
+
+#include <catch2/catch.hpp>
+
+#include "Dispatch/DispatchFixture.h"
+
+using namespace almondspoke;
+using namespace almondspoke::dispatch;
+using almondspoke::testing::DispatchFixture;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kSeeds = 400;
+constexpr int kWorkers = 5;
+constexpr int kRounds = 60;
+
+/** \brief One random run: jobs of both kinds while workers and leaders fail. */
+class RandomRun
+{
+public:
+  explicit RandomRun(std::uint64_t aSeed)
+    : mFixture(aSeed)
+    , mRandom(aSeed * 7919 + 1)
+  {
+    mFixture.AddWorkers(kWorkers, 30'000);
+    mFixture.Lead();
+    mFixture.Run(milliseconds(100));
+  }
+
+  /** Empty if every rule held and every stored job has ended. */
+  std::string Play()
+  {
+    for (int round = 0; round < kRounds; ++round) {
+      HandIn();
+      if (Chance(0.25)) {
+        Disturb();
+      }
+      if (Chance(0.2)) {
+        Mend();
+      }
+      mFixture.Run(milliseconds(Between(10, 150)));
+      if (!mFixture.mFleet.Errors().empty()) {
+        return mFixture.mFleet.Errors().front();
+      }
+    }
+    MendAll();
+    mFixture.Run(milliseconds(25'000));
+    if (!mFixture.mFleet.Errors().empty()) {
+      return mFixture.mFleet.Errors().front();
+    }
+    return Unfinished();
+  }
+
+private:
+  bool Chance(double aPart)
+  {
+    return std::uniform_real_distribution<double>(0, 1)(mRandom) < aPart;
+  }
+  int Between(int aLow, int aHigh)
+  {
+    return std::uniform_int_distribution<int>(aLow, aHigh)(mRandom);
+  }
+  std::string AnyWorker()
+  {
+    return "w" + std::to_string(Between(0, kWorkers - 1));
+  }
+
+  void HandIn()
+  {
+    const bool stored = Chance(0.4);
+    const std::string id = "j" + std::to_string(mJobs.size());
+    JobCall call =
+      mFixture.CallOf(Chance(0.5) ? "urgent" : "patient",
+                      id,
+                      static_cast<std::uint32_t>(Between(1, 6)),
+                      static_cast<std::uint32_t>(Between(4, 15) * 1000),
+                      stored);
+    call.mJob.mSteps.front().mEstimateMs = 80;
+    mJobs.push_back(call);
+    mFixture.Submit(call, milliseconds(Between(20, 400)));
+    if (Chance(0.1)) {
+      JobCall again = mJobs[Between(0, static_cast<int>(mJobs.size()) - 1)];
+      again.mEarlierSends = Chance(0.5) ? 1 : 0;
+      mFixture.Call(again);
+    }
+  }
+
+  void Disturb()
+  {
+    using Fault = void (RandomRun::*)();
+    static constexpr std::array<Fault, 8> kFaults = {
+      &RandomRun::CutWorker,    &RandomRun::DeafenWorker,
+      &RandomRun::DelayOrders,  &RandomRun::CrashWorker,
+      &RandomRun::BreakWorker,  &RandomRun::HangWorker,
+      &RandomRun::ChangeLeader, &RandomRun::DoubtRecords
+    };
+    (this->*kFaults[static_cast<std::size_t>(Between(0, 7))])();
+  }
+
+  void CutWorker() { mFixture.mFleet.WeatherOf(AnyWorker()).mCut = true; }
+  void DeafenWorker() { mFixture.mFleet.WeatherOf(AnyWorker()).mDeaf = true; }
+  void DelayOrders() { mFixture.mFleet.WeatherOf(AnyWorker()).mLate = 0.3; }
+  void BreakWorker() { mFixture.mFleet.MannerOf(AnyWorker()).mFails = true; }
+  void HangWorker() { mFixture.mFleet.MannerOf(AnyWorker()).mHangs = true; }
+  void DoubtRecords() { mFixture.mGroup.mUnknown = 0.5; }
+  void CrashWorker()
+  {
+    const int worker = Between(0, kWorkers - 1);
+    mFixture.mReports[worker] =
+      mFixture.mFleet.Restart("w" + std::to_string(worker));
+    if (Chance(0.5)) {
+      mFixture.Decisions().OnReport(mFixture.mReports[worker]);
+    }
+  }
+  void ChangeLeader()
+  {
+    mFixture.Leader().mPort.mDelay = milliseconds(Between(0, 1500));
+    mFixture.Run(milliseconds(Between(0, 20)));
+    mFixture.Lead();
+  }
+
+  void Mend()
+  {
+    const std::string worker = AnyWorker();
+    mFixture.mFleet.WeatherOf(worker) = {};
+    mFixture.mFleet.MannerOf(worker) = {};
+    mFixture.mGroup.mUnknown = 0;
+  }
+  void MendAll()
+  {
+    for (int i = 0; i < kWorkers; ++i) {
+      const std::string worker = "w" + std::to_string(i);
+      mFixture.mFleet.WeatherOf(worker) = {};
+      mFixture.mFleet.MannerOf(worker) = {};
+    }
+    mFixture.mGroup.mUnknown = 0;
+  }
+
+  std::string Unfinished()
+  {
+    for (const auto& [id, job] : mFixture.mGroup.mState.mJobs) {
+      const bool ended =
+        job.mState == JobState::Completed || job.mState == JobState::Failed;
+      if (!ended) {
+        return "not ended: " + id;
+      }
+    }
+    return {};
+  }
+
+  DispatchFixture mFixture;
+  std::mt19937_64 mRandom;
+  std::vector<JobCall> mJobs;
+};
+
+}
+
+TEST_CASE("Dispatch: no rule is broken in random mixes of faults")
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    CHECK(RandomRun(seed).Play() == "");
+  }
+}
--- /dev/null
+++ b/Tests/Dispatch/CoordinatorTest.cxx
@@ -0,0 +1,521 @@
+#include <catch2/catch.hpp>
+
+#include "Dispatch/DispatchFixture.h"
+
+using namespace almondspoke;
+using namespace almondspoke::dispatch;
+using almondspoke::testing::DispatchFixture;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** A leader with workers on which something may be started. */
+void
+Settle(DispatchFixture& aFixture, int aWorkers, std::uint32_t aMilliCores)
+{
+  aFixture.AddWorkers(aWorkers, aMilliCores);
+  aFixture.Lead();
+  aFixture.Run(milliseconds(100));
+  REQUIRE(aFixture.Decisions().IsSettled());
+}
+
+}
+
+TEST_CASE("Dispatch: a job runs each task once and is answered at its end")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 3, 32'000);
+  const CallId call =
+    fixture.Submit(fixture.CallOf("urgent", "j1", 8, 10'000, false));
+  CHECK_FALSE(fixture.ReplyTo(call));
+  fixture.Run(milliseconds(200));
+  REQUIRE(fixture.ReplyTo(call));
+  CHECK(fixture.ReplyTo(call)->mKind == JobReplyKind::Accepted);
+  CHECK(fixture.ReplyTo(call)->mState == JobState::Completed);
+  CHECK(fixture.mFleet.StartsOf("j1") == 8);
+  CHECK(fixture.mFleet.Errors().empty());
+}
+
+TEST_CASE("Dispatch: a job that is handed in again stays one job")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 3, 32'000);
+  const JobCall job = fixture.CallOf("urgent", "j1", 2, 10'000, false);
+  const CallId first = fixture.Submit(job);
+  fixture.Run(milliseconds(20));
+  const CallId second = fixture.Submit(job);
+  fixture.Run(milliseconds(200));
+  const CallId third = fixture.Submit(job);
+  REQUIRE(fixture.ReplyTo(first));
+  REQUIRE(fixture.ReplyTo(second));
+  REQUIRE(fixture.ReplyTo(third));
+  CHECK(fixture.ReplyTo(third)->mState == JobState::Completed);
+  CHECK(fixture.mFleet.StartsOf("j1") == 2);
+}
+
+TEST_CASE("Dispatch: an unknown path, a malformed job and an unserved one are "
+          "answered and run nothing")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 1, 32'000);
+  JobCall call = fixture.CallOf("urgent", "j1", 1, 10'000, false);
+  JobReplyKind expected = JobReplyKind::UnknownQueue;
+  SECTION("no queue of that path")
+  {
+    call.mPath = "/other/j1";
+  }
+  SECTION("no queue of that host")
+  {
+    call.mHost = "elsewhere";
+  }
+  SECTION("no step")
+  {
+    call.mJob.mSteps.clear();
+    expected = JobReplyKind::Malformed;
+  }
+  SECTION("a step without a task")
+  {
+    call.mJob.mSteps.front().mCount = 0;
+    expected = JobReplyKind::Malformed;
+  }
+  SECTION("a step after itself")
+  {
+    call.mJob.mSteps.front().mAfter = { 0 };
+    expected = JobReplyKind::Malformed;
+  }
+  SECTION("more tasks than are allowed")
+  {
+    call.mJob.mSteps.front().mCount = 1'000'000;
+    expected = JobReplyKind::Malformed;
+  }
+  SECTION("a feature that is not served")
+  {
+    call.mJob.mUnserved = "gang";
+    expected = JobReplyKind::Unavailable;
+  }
+  const CallId id = fixture.Call(call);
+  REQUIRE(fixture.ReplyTo(id));
+  CHECK(fixture.ReplyTo(id)->mKind == expected);
+  fixture.Run(milliseconds(100));
+  CHECK(fixture.mFleet.StartsOf("j1") == 0);
+}
+
+TEST_CASE("Dispatch: steps start only after those before them")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 4, 32'000);
+  JobCall call = fixture.CallOf("urgent", "j1", 2, 10'000, false);
+  StepSpec second = call.mJob.mSteps.front();
+  second.mAfter = { 0 };
+  call.mJob.mSteps.push_back(second);
+  const CallId id = fixture.Submit(call, milliseconds(100));
+  fixture.Run(milliseconds(90));
+  CHECK(fixture.mFleet.StartsOf("j1") == 2);
+  fixture.Run(milliseconds(60));
+  CHECK(fixture.mFleet.StartsOf("j1") == 4);
+  fixture.Run(milliseconds(150));
+  REQUIRE(fixture.ReplyTo(id));
+  CHECK(fixture.ReplyTo(id)->mState == JobState::Completed);
+}
+
+TEST_CASE("Dispatch: the urgent job goes first, and waits for room that a "
+          "worker has not")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 1, 20'000);
+  fixture.Submit(fixture.CallOf("patient", "p1", 2, 10'000, false),
+                 milliseconds(20));
+  JobCall patient = fixture.CallOf("patient", "p2", 2, 10'000, false);
+  patient.mJob.mSteps.front().mEstimateMs = 20;
+  fixture.Submit(patient, milliseconds(20));
+  const CallId urgent = fixture.Submit(
+    fixture.CallOf("urgent", "u1", 2, 10'000, false), milliseconds(20));
+  fixture.Run(milliseconds(45));
+  CHECK(fixture.mFleet.StartsOf("u1") == 2);
+  CHECK(fixture.mFleet.StartsOf("p2") == 0);
+  fixture.Run(milliseconds(100));
+  CHECK(fixture.ReplyTo(urgent)->mState == JobState::Completed);
+  CHECK(fixture.mFleet.Errors().empty());
+}
+
+TEST_CASE("Dispatch: a job that cannot start in time is refused, once and at "
+          "once, and never runs")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 1, 20'000);
+  JobCall large = fixture.CallOf("patient", "long", 2, 10'000, false);
+  large.mJob.mSteps.front().mEstimateMs = 1000;
+  fixture.Submit(large, milliseconds(1000));
+  const CallId call =
+    fixture.Submit(fixture.CallOf("urgent", "u1", 1, 10'000, false));
+  // The objective is 1.6 x 50 ms + 60 ms; a fifth of it is 28 ms.
+  fixture.Run(milliseconds(45));
+  REQUIRE(fixture.ReplyTo(call));
+  CHECK(fixture.ReplyTo(call)->mKind == JobReplyKind::Refused);
+  CHECK(fixture.ReplyTo(call)->mRetryAfterMs >= 200);
+  fixture.Run(milliseconds(2000));
+  CHECK(fixture.mFleet.StartsOf("u1") == 0);
+}
+
+TEST_CASE("Dispatch: a flood is refused at the door by the backlog")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 2, 20'000);
+  std::size_t refused = 0;
+  for (int i = 0; i < 100; ++i) {
+    const CallId call = fixture.Submit(
+      fixture.CallOf("urgent", "j" + std::to_string(i), 4, 10'000, false));
+    const auto reply = fixture.ReplyTo(call);
+    refused += reply && reply->mKind == JobReplyKind::Refused ? 1 : 0;
+  }
+  CHECK(refused >= 90);
+  fixture.Run(milliseconds(1000));
+  for (CallId call = 1; call <= 100; ++call) {
+    REQUIRE(fixture.ReplyTo(call));
+    const bool ran =
+      fixture.mFleet.StartsOf("j" + std::to_string(call - 1)) > 0;
+    const bool said = fixture.ReplyTo(call)->mKind == JobReplyKind::Refused;
+    CHECK(ran != said);
+  }
+}
+
+TEST_CASE("Dispatch: a failed run is repeated on another worker, up to the "
+          "queue's limit")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 2, 20'000);
+  SECTION("one worker fails all")
+  {
+    fixture.mFleet.MannerOf("w0").mFails = true;
+    const CallId call =
+      fixture.Submit(fixture.CallOf("urgent", "j1", 2, 10'000, false));
+    fixture.Run(milliseconds(400));
+    REQUIRE(fixture.ReplyTo(call));
+    CHECK(fixture.ReplyTo(call)->mState == JobState::Completed);
+  }
+  SECTION("all workers fail all")
+  {
+    fixture.mFleet.MannerOf("w0").mFails = true;
+    fixture.mFleet.MannerOf("w1").mFails = true;
+    const CallId call =
+      fixture.Submit(fixture.CallOf("urgent", "j1", 1, 10'000, false));
+    fixture.Run(milliseconds(400));
+    REQUIRE(fixture.ReplyTo(call));
+    CHECK(fixture.ReplyTo(call)->mState == JobState::Failed);
+    CHECK(fixture.mFleet.StartsOf("j1") == 2);
+  }
+}
+
+TEST_CASE("Dispatch: a worker that fails at once does not attract the work")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 8, 20'000);
+  fixture.mFleet.MannerOf("w0").mFails = true;
+  std::size_t failed = 0;
+  for (int i = 0; i < 60; ++i) {
+    const std::string id = "j" + std::to_string(i);
+    const CallId call = fixture.Submit(
+      fixture.CallOf("urgent", id, 1, 10'000, false), milliseconds(20));
+    fixture.Run(milliseconds(30));
+    failed += fixture.mFleet.StartsOf(id) > 1 ? 1 : 0;
+    fixture.Run(milliseconds(40));
+    REQUIRE(fixture.ReplyTo(call));
+    CHECK(fixture.ReplyTo(call)->mState == JobState::Completed);
+  }
+  CHECK(failed <= 8);
+}
+
+TEST_CASE("Dispatch: a run that stands still is stopped and repeated elsewhere")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 2, 20'000);
+  fixture.mFleet.MannerOf("w0").mHangs = true;
+  fixture.mFleet.MannerOf("w1").mHangs = false;
+  JobCall job = fixture.CallOf("patient", "j1", 2, 10'000, false);
+  job.mJob.mSteps.front().mEstimateMs = 100;
+  const CallId call = fixture.Submit(job, milliseconds(100));
+  fixture.Run(milliseconds(1200));
+  REQUIRE(fixture.ReplyTo(call));
+  CHECK(fixture.ReplyTo(call)->mState == JobState::Completed);
+  CHECK(fixture.mFleet.Errors().empty());
+}
+
+TEST_CASE("Dispatch: a long task is left alone although its estimate was short")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 2, 20'000);
+  JobCall job = fixture.CallOf("patient", "j1", 2, 10'000, false);
+  job.mJob.mSteps.front().mEstimateMs = 100;
+  const CallId call = fixture.Submit(job, milliseconds(400));
+  fixture.Run(milliseconds(600));
+  REQUIRE(fixture.ReplyTo(call));
+  CHECK(fixture.ReplyTo(call)->mState == JobState::Completed);
+  CHECK(fixture.mFleet.StartsOf("j1") == 2);
+}
+
+TEST_CASE("Dispatch: an order without an answer keeps its room and its task "
+          "until it can have no effect")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 2, 20'000);
+  fixture.mFleet.WeatherOf("w0").mLate = 1;
+  fixture.mFleet.WeatherOf("w1").mLate = 1;
+  const CallId call =
+    fixture.Submit(fixture.CallOf("patient", "j1", 2, 10'000, false));
+  fixture.Run(milliseconds(200));
+  fixture.mFleet.WeatherOf("w0").mLate = 0;
+  fixture.mFleet.WeatherOf("w1").mLate = 0;
+  fixture.Run(milliseconds(15'000));
+  REQUIRE(fixture.ReplyTo(call));
+  CHECK(fixture.mFleet.StartsOf("j1") == 2);
+  CHECK(fixture.mFleet.Errors().empty());
+}
+
+TEST_CASE("Dispatch: what runs on a worker that is cut off is repeated only "
+          "after its lease has ended")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 2, 20'000);
+  JobCall job = fixture.CallOf("patient", "j1", 2, 10'000, true);
+  job.mJob.mSteps.front().mEstimateMs = 600;
+  fixture.Submit(job, milliseconds(600));
+  fixture.Run(milliseconds(100));
+  const std::string cut = fixture.mFleet.RunningOn("w0") > 0 ? "w0" : "w1";
+  SECTION("in both directions")
+  {
+    fixture.mFleet.WeatherOf(cut).mCut = true;
+  }
+  SECTION("only its answers are lost")
+  {
+    fixture.mFleet.WeatherOf(cut).mDeaf = true;
+  }
+  fixture.Run(milliseconds(4000));
+  CHECK(fixture.mFleet.Errors().empty());
+  JobCall query = job;
+  query.mKind = JobCallKind::Query;
+  const CallId state = fixture.Call(query);
+  CHECK(fixture.ReplyTo(state)->mState == JobState::Completed);
+}
+
+TEST_CASE("Dispatch: a worker that starts again under its id runs nothing of "
+          "before")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 1, 20'000);
+  JobCall job = fixture.CallOf("patient", "j1", 2, 10'000, false);
+  job.mJob.mSteps.front().mEstimateMs = 300;
+  const CallId call = fixture.Submit(job, milliseconds(300));
+  fixture.Run(milliseconds(100));
+  fixture.mReports[0] = fixture.mFleet.Restart("w0");
+  fixture.Decisions().OnReport(fixture.mReports[0]);
+  fixture.Run(milliseconds(800));
+  REQUIRE(fixture.ReplyTo(call));
+  CHECK(fixture.ReplyTo(call)->mState == JobState::Completed);
+  CHECK(fixture.mFleet.StartsOf("j1") == 4);
+  CHECK(fixture.mFleet.Errors().empty());
+}
+
+TEST_CASE("Dispatch: a worker that drains gets no new work")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 2, 20'000);
+  fixture.mReports[0].mDraining = true;
+  ++fixture.mReports[0].mSequence;
+  fixture.Decisions().OnReport(fixture.mReports[0]);
+  fixture.Submit(fixture.CallOf("patient", "j1", 4, 10'000, false));
+  fixture.Run(milliseconds(20));
+  CHECK(fixture.mFleet.RunningOn("w0") == 0);
+  CHECK(fixture.mFleet.RunningOn("w1") == 2);
+}
+
+TEST_CASE("Dispatch: ends are acknowledged soon also where nothing runs on")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 1, 20'000);
+  fixture.Submit(fixture.CallOf("patient", "j1", 1, 10'000, false));
+  fixture.Run(milliseconds(400));
+  const WorkerSession& worker = fixture.Decisions().Workers().at("w0");
+  CHECK(worker.mProcessedEnds == 1);
+  fixture.Run(milliseconds(2000));
+  CHECK(worker.mAcknowledgedEnds == 1);
+  const std::size_t holds = fixture.mFleet.HoldsOf("w0");
+  fixture.Run(milliseconds(5000));
+  CHECK(fixture.mFleet.HoldsOf("w0") == holds);
+}
+
+TEST_CASE("Dispatch: a caller that leaves early takes along what has not begun")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 1, 20'000);
+  fixture.Submit(fixture.CallOf("patient", "long", 2, 10'000, false),
+                 milliseconds(60));
+  const JobCall job = fixture.CallOf("patient", "j1", 2, 10'000, false);
+  fixture.Submit(job);
+  fixture.Decisions().OnCallerLeft({ job.mHost, job.mPath, true });
+  fixture.Run(milliseconds(500));
+  CHECK(fixture.mFleet.StartsOf("j1") == 0);
+}
+
+TEST_CASE("Dispatch: a new leader takes over what runs and repeats nothing")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 4, 20'000);
+  JobCall job = fixture.CallOf("patient", "j1", 4, 10'000, false);
+  job.mJob.mSteps.front().mEstimateMs = 300;
+  fixture.Submit(job, milliseconds(300));
+  fixture.Run(milliseconds(100));
+  fixture.Lead();
+  job.mEarlierSends = 1;
+  const CallId call = fixture.Call(job);
+  fixture.Run(milliseconds(400));
+  REQUIRE(fixture.ReplyTo(call));
+  CHECK(fixture.ReplyTo(call)->mState == JobState::Completed);
+  CHECK(fixture.mFleet.StartsOf("j1") == 4);
+  CHECK(fixture.mFleet.Errors().empty());
+}
+
+TEST_CASE("Dispatch: a job that an earlier leader may have started is never "
+          "said to be not run")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 1, 20'000);
+  JobCall large = fixture.CallOf("patient", "long", 2, 10'000, false);
+  large.mJob.mSteps.front().mEstimateMs = 800;
+  fixture.Submit(large, milliseconds(800));
+  JobCall job = fixture.CallOf("urgent", "j1", 1, 10'000, false);
+  job.mEarlierSends = 1;
+  const CallId call = fixture.Submit(job);
+  fixture.Run(milliseconds(2000));
+  REQUIRE(fixture.ReplyTo(call));
+  CHECK(fixture.ReplyTo(call)->mKind != JobReplyKind::Refused);
+}
+
+TEST_CASE("Dispatch: a new leader starts nothing before it knows what may run")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 2, 20'000);
+  fixture.mFleet.WeatherOf("w0").mCut = true;
+  fixture.Lead();
+  fixture.Run(milliseconds(500));
+  CHECK_FALSE(fixture.Decisions().IsSettled());
+  const CallId call =
+    fixture.Submit(fixture.CallOf("patient", "j1", 1, 10'000, true));
+  fixture.Run(milliseconds(400));
+  CHECK(fixture.mFleet.StartsOf("j1") == 0);
+  fixture.Run(milliseconds(400));
+  CHECK(fixture.Decisions().IsSettled());
+  CHECK(fixture.mFleet.StartsOf("j1") == 1);
+  CHECK(fixture.ReplyTo(call)->mKind == JobReplyKind::Accepted);
+}
+
+TEST_CASE("Dispatch: orders of a leader that was frozen have no effect")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 1, 20'000);
+  fixture.Leader().mPort.mDelay = milliseconds(300);
+  fixture.Submit(fixture.CallOf("patient", "old", 2, 10'000, false));
+  fixture.Run(milliseconds(10));
+  fixture.Lead();
+  fixture.Run(milliseconds(100));
+  fixture.Submit(fixture.CallOf("patient", "new", 2, 10'000, false),
+                 milliseconds(400));
+  fixture.Run(milliseconds(400));
+  CHECK(fixture.mFleet.StartsOf("old") == 0);
+  CHECK(fixture.mFleet.StartsOf("new") == 2);
+  CHECK(fixture.mFleet.Errors().empty());
+}
+
+TEST_CASE("Dispatch: a stored job is accepted once it is stored, and its ends "
+          "are acknowledged once they are")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 1, 20'000);
+  const CallId call = fixture.Submit(
+    fixture.CallOf("patient", "j1", 1, 10'000, true), milliseconds(20));
+  fixture.Run(milliseconds(5));
+  CHECK_FALSE(fixture.ReplyTo(call));
+  CHECK(fixture.mFleet.StartsOf("j1") == 0);
+  fixture.Run(milliseconds(15));
+  REQUIRE(fixture.ReplyTo(call));
+  CHECK(fixture.ReplyTo(call)->mKind == JobReplyKind::Accepted);
+  fixture.mGroup.mUnknown = 1;
+  fixture.Run(milliseconds(60));
+  const WorkerSession& worker = fixture.Decisions().Workers().at("w0");
+  CHECK(worker.mProcessedEnds == 1);
+  CHECK(worker.AcknowledgeableEnds() == 0);
+  fixture.mGroup.mUnknown = 0;
+  fixture.Run(milliseconds(1000));
+  CHECK(worker.AcknowledgeableEnds() == 1);
+  CHECK(fixture.mGroup.mState.mJobs.at("j1").mState == JobState::Completed);
+}
+
+TEST_CASE("Dispatch: a stored job survives its leader, with what is done")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 1, 20'000);
+  JobCall job = fixture.CallOf("patient", "j1", 6, 10'000, true);
+  fixture.Submit(job, milliseconds(100));
+  fixture.Run(milliseconds(180));
+  const std::size_t before = fixture.mFleet.StartsOf("j1");
+  CHECK(before == 4);
+  fixture.Lead();
+  fixture.Run(milliseconds(1500));
+  CHECK(fixture.mFleet.StartsOf("j1") == 6);
+  job.mKind = JobCallKind::Query;
+  CHECK(fixture.ReplyTo(fixture.Call(job))->mState == JobState::Completed);
+  CHECK(fixture.mFleet.Errors().empty());
+}
+
+TEST_CASE("Dispatch: a stored job is cancelled for good")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 1, 20'000);
+  JobCall job = fixture.CallOf("patient", "j1", 4, 10'000, true);
+  job.mJob.mSteps.front().mEstimateMs = 500;
+  fixture.Submit(job, milliseconds(500));
+  fixture.Run(milliseconds(100));
+  job.mKind = JobCallKind::Cancel;
+  const CallId cancel = fixture.Call(job);
+  fixture.Run(milliseconds(100));
+  REQUIRE(fixture.ReplyTo(cancel));
+  CHECK(fixture.ReplyTo(cancel)->mState == JobState::Cancelled);
+  CHECK(fixture.mFleet.Running() == 0);
+  fixture.Lead();
+  fixture.Run(milliseconds(1500));
+  CHECK(fixture.mFleet.StartsOf("j1") == 2);
+  job.mKind = JobCallKind::Query;
+  CHECK(fixture.ReplyTo(fixture.Call(job))->mState == JobState::Cancelled);
+}
+
+TEST_CASE("Dispatch: a queue tells how many of its jobs have not started")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 1, 20'000);
+  for (int i = 0; i < 4; ++i) {
+    fixture.Submit(
+      fixture.CallOf("patient", "j" + std::to_string(i), 1, 10'000, true),
+      milliseconds(500));
+  }
+  fixture.Run(milliseconds(60));
+  JobCall count = fixture.CallOf("patient", "", 1, 1, false);
+  count.mKind = JobCallKind::Query;
+  const CallId call = fixture.Call(count);
+  REQUIRE(fixture.ReplyTo(call));
+  CHECK(fixture.ReplyTo(call)->mKind == JobReplyKind::Count);
+  CHECK(fixture.ReplyTo(call)->mPending == 2);
+}
+
+TEST_CASE("Dispatch: the log leads from a job's id through its decisions")
+{
+  DispatchFixture fixture;
+  Settle(fixture, 1, 20'000);
+  fixture.Submit(fixture.CallOf("urgent", "j1", 1, 10'000, false));
+  fixture.Run(milliseconds(200));
+  const std::string log = fixture.Log();
+  for (const char* event :
+       { "job-accepted", "run-start", "run-end", "job-ended" }) {
+    INFO(event);
+    CHECK(log.find("event=" + std::string(event) + " job=j1") !=
+          std::string::npos);
+  }
+}
--- /dev/null
+++ b/Tests/Dispatch/DispatchFixture.h
@@ -0,0 +1,242 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Base/EventLog.h"
+#include "Dispatch/Coordinator.h"
+#include "Dispatch/SimulatedFleet.h"
+#include "Support/ManualClock.h"
+
+namespace almondspoke::testing {
+
+/** \brief Keeps what is logged. */
+class TextSink : public LogSink
+{
+public:
+  std::size_t Write(std::string_view aBytes) override
+  {
+    mText += aBytes;
+    return aBytes.size();
+  }
+
+  std::string mText;
+};
+
+/** \brief The replicated state, kept by one copy in this process. */
+class SimulatedGroup
+{
+public:
+  explicit SimulatedGroup(SimulatedFleet& aFleet)
+    : mFleet(aFleet)
+  {
+  }
+
+  void Store(const dispatch::RecordBatch& aBatch,
+             dispatch::RecordSink::Done aDone)
+  {
+    using std::chrono::milliseconds;
+    // A batch of unknown fate takes effect late, or never.
+    const bool unknown = mUnknown > 0 && Chance(mUnknown);
+    const bool lost = unknown && Chance(0.5);
+    const milliseconds delay(unknown ? 300 : 12);
+    mFleet.After(delay, [this, aBatch, lost] {
+      if (!lost) {
+        dispatch::ApplyBatch(mState, aBatch);
+      }
+    });
+    mFleet.After(delay, [this, aBatch, unknown, done = std::move(aDone)] {
+      done(!unknown && aBatch.mFence >= mState.mFence);
+    });
+  }
+
+  bool Chance(double aPart)
+  {
+    return std::uniform_real_distribution<double>(0, 1)(mFleet.Random()) <
+           aPart;
+  }
+
+  dispatch::DispatchState mState;
+  /** Part of the batches of which the leader does not learn the fate. */
+  double mUnknown = 0;
+
+private:
+  SimulatedFleet& mFleet;
+};
+
+/** \brief One leader with its way to the workers and its callers. */
+class SimulatedLeader
+  : public dispatch::CallReplies
+  , public dispatch::RecordSink
+{
+public:
+  SimulatedLeader(SimulatedFleet& aFleet,
+                  SimulatedGroup& aGroup,
+                  EventLog& aLog)
+    : mPort(aFleet)
+    , mGroup(aGroup)
+    , mCoordinator({}, aFleet.Time(), mPort, *this, *this, aLog)
+  {
+  }
+
+  void Reply(dispatch::CallId aCall, const dispatch::JobReply& aReply) override
+  {
+    mReplies[aCall] = aReply;
+  }
+  void Store(const dispatch::RecordBatch& aBatch,
+             dispatch::RecordSink::Done aDone) override
+  {
+    mGroup.Store(aBatch, std::move(aDone));
+  }
+
+  std::map<dispatch::CallId, dispatch::JobReply> mReplies;
+  LeaderPort mPort;
+  SimulatedGroup& mGroup;
+  dispatch::Coordinator mCoordinator;
+};
+
+/** \brief A fleet with leaders that follow each other, in simulated time. */
+class DispatchFixture
+{
+public:
+  using Milliseconds = std::chrono::milliseconds;
+
+  explicit DispatchFixture(std::uint64_t aSeed = 1)
+    : mFleet(mClock, aSeed)
+    , mLog(mClock, mSink)
+    , mGroup(mFleet)
+  {
+    dispatch::Manifest manifest;
+    manifest.mVersion = 1;
+    manifest.mPools.push_back({ "pool", false, 64 });
+    manifest.mQueues.push_back(
+      { "urgent", "desk", "/urgent/", "pool", 0, 2, 1500, 1.6, 60 });
+    manifest.mQueues.push_back(
+      { "patient", "desk", "/patient/", "pool", 2, 2, 1500, 1.6, 60 });
+    mManifest = std::make_shared<const dispatch::Manifest>(manifest);
+  }
+
+  /** A new leader takes over from the stored state. The former one is kept, so
+   * that its orders may still arrive. */
+  SimulatedLeader& Lead()
+  {
+    if (!mLeaders.empty()) {
+      Leader().mPort.mEnded = true;
+    }
+    mLeaders.push_back(std::make_unique<SimulatedLeader>(mFleet, mGroup, mLog));
+    ++mFence;
+    dispatch::RecordBatch begin;
+    begin.mFence = mFence;
+    dispatch::ApplyBatch(mGroup.mState, begin);
+    SimulatedLeader& leader = *mLeaders.back();
+    leader.mCoordinator.SetManifest(mManifest);
+    leader.mCoordinator.Lead(mFence, mGroup.mState, mReports);
+    return leader;
+  }
+  SimulatedLeader& Leader() { return *mLeaders.back(); }
+  dispatch::Coordinator& Decisions() { return Leader().mCoordinator; }
+
+  void AddWorkers(int aCount, std::uint32_t aMilliCores)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      const std::string id = "w" + std::to_string(mReports.size());
+      mReports.push_back(mFleet.AddWorker(id, aMilliCores));
+      if (!mLeaders.empty()) {
+        Decisions().OnReport(mReports.back());
+      }
+    }
+  }
+
+  /** Reports of all workers reach the leader, as they do all the time. */
+  void ReportAll()
+  {
+    for (dispatch::WorkerReport& report : mReports) {
+      ++report.mSequence;
+      Decisions().OnReport(report);
+    }
+  }
+
+  void Run(Milliseconds aTime)
+  {
+    for (std::int64_t i = 0; i < aTime.count(); ++i) {
+      mFleet.Step();
+      if (++mSteps % 10 == 0) {
+        Decisions().Tick();
+      }
+      if (mSteps % 500 == 0) {
+        ReportAll();
+      }
+    }
+  }
+
+  dispatch::JobCall CallOf(const std::string& aQueue,
+                           const std::string& aId,
+                           std::uint32_t aTasks,
+                           std::uint32_t aMilliCores,
+                           bool aStored)
+  {
+    dispatch::JobCall call;
+    call.mKind = dispatch::JobCallKind::Submit;
+    call.mHost = "desk";
+    call.mPath = "/" + aQueue + "/" + aId;
+    call.mWaitMs = 1500;
+    call.mJob.mPayload = "payload";
+    call.mJob.mBestEffort = !aStored;
+    dispatch::StepSpec step;
+    step.mCount = aTasks;
+    step.mNeeds = { aMilliCores, 64, 0 };
+    step.mEstimateMs = 50;
+    call.mJob.mSteps.push_back(step);
+    return call;
+  }
+
+  /** Hands in a job and returns the number of the call. */
+  dispatch::CallId Submit(const dispatch::JobCall& aCall,
+                          Milliseconds aDuration = Milliseconds(50))
+  {
+    const std::string id = aCall.mPath.substr(aCall.mPath.rfind('/') + 1);
+    mFleet.Describe(
+      id,
+      { aCall.mJob.mSteps.front().mNeeds, aDuration, !aCall.mJob.mBestEffort });
+    return Call(aCall);
+  }
+
+  dispatch::CallId Call(const dispatch::JobCall& aCall)
+  {
+    const dispatch::CallId id = ++mCalls;
+    Decisions().Call(id, aCall);
+    return id;
+  }
+
+  std::optional<dispatch::JobReply> ReplyTo(dispatch::CallId aCall)
+  {
+    const auto reply = Leader().mReplies.find(aCall);
+    if (reply == Leader().mReplies.end()) {
+      return std::nullopt;
+    }
+    return reply->second;
+  }
+
+  std::string Log()
+  {
+    mLog.Flush();
+    return mSink.mText;
+  }
+
+  ManualClock mClock;
+  SimulatedFleet mFleet;
+  TextSink mSink;
+  EventLog mLog;
+  SimulatedGroup mGroup;
+  std::shared_ptr<const dispatch::Manifest> mManifest;
+  std::vector<dispatch::WorkerReport> mReports;
+  std::vector<std::unique_ptr<SimulatedLeader>> mLeaders;
+  dispatch::Fence mFence = 1;
+  dispatch::CallId mCalls = 0;
+  std::uint64_t mSteps = 0;
+};
+
+}
--- /dev/null
+++ b/Tests/Dispatch/GatewayTest.cxx
@@ -0,0 +1,235 @@
+#include <deque>
+
+#include <catch2/catch.hpp>
+
+#include "Base/MessagePack.h"
+#include "Dispatch/DispatchFixture.h"
+#include "Dispatch/Gateway.h"
+
+using namespace almondspoke;
+using namespace almondspoke::dispatch;
+using almondspoke::testing::ManualClock;
+using almondspoke::testing::TextSink;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** \brief Keeps the calls to the other instances for the test to answer. */
+class HeldRpc : public PeerRpc
+{
+public:
+  struct Held
+  {
+    InstanceName mTo;
+    std::string mRequest;
+    Done mDone;
+  };
+
+  void Call(const InstanceName& aTo,
+            const std::string& aMethod,
+            std::string aRequest,
+            std::chrono::milliseconds,
+            Done aDone) override
+  {
+    mCalls[aMethod].push_back({ aTo, std::move(aRequest), std::move(aDone) });
+  }
+  void Register(const std::string&, Handler) override {}
+
+  std::deque<Held>& Jobs() { return mCalls[kJobCallMethod]; }
+  Held TakeJob()
+  {
+    Held held = std::move(Jobs().front());
+    Jobs().pop_front();
+    return held;
+  }
+
+  std::map<std::string, std::deque<Held>> mCalls;
+};
+
+/** \brief A gateway whose instances the test plays. */
+struct GatewayFixture
+{
+  GatewayFixture()
+    : mLog(mClock, mSink)
+    , mFinder(mClock, mRpc, mLog, { "a", "b", "c" })
+    , mGateway(mClock, mRpc, mFinder, mLog)
+  {
+  }
+
+  void Run(milliseconds aTime)
+  {
+    for (std::int64_t i = 0; i < aTime.count(); i += 5) {
+      mClock.Advance(milliseconds(5));
+      mFinder.Tick();
+      AnswerQuestions();
+      mGateway.Tick();
+    }
+  }
+
+  void AnswerQuestions()
+  {
+    auto& questions = mRpc.mCalls[kLeaderMethod];
+    while (!questions.empty()) {
+      const HeldRpc::Held question = std::move(questions.front());
+      questions.pop_front();
+      if (mSilent.count(question.mTo) != 0) {
+        question.mDone(Error(ErrorKind::PeerTimeout, "no answer"));
+        continue;
+      }
+      LeaderStatus status;
+      status.mLeads = question.mTo == mLeader;
+      status.mTerm = mTerm;
+      question.mDone(PackMessage(status));
+    }
+  }
+
+  void Submit(std::uint32_t aWaitMs = 1500)
+  {
+    JobCall call;
+    call.mKind = JobCallKind::Submit;
+    call.mPath = "/q/j1";
+    call.mWaitMs = aWaitMs;
+    mGateway.Call(call, [this](const JobReply& aReply) { mReply = aReply; });
+  }
+
+  ManualClock mClock;
+  TextSink mSink;
+  EventLog mLog;
+  HeldRpc mRpc;
+  LeaderFinder mFinder;
+  Gateway mGateway;
+  InstanceName mLeader = "a";
+  std::uint64_t mTerm = 2;
+  std::set<InstanceName> mSilent;
+  std::optional<JobReply> mReply;
+};
+
+std::string
+Packed(JobReplyKind aKind)
+{
+  JobReply reply;
+  reply.mKind = aKind;
+  return PackMessage(reply);
+}
+
+}
+
+TEST_CASE("Gateway: a call goes to the leader and its reply comes back")
+{
+  GatewayFixture fixture;
+  fixture.Run(milliseconds(100));
+  REQUIRE(fixture.mGateway.IsReady());
+  fixture.Submit();
+  const HeldRpc::Held call = fixture.mRpc.TakeJob();
+  CHECK(call.mTo == "a");
+  CHECK(UnpackMessage<JobCall>(call.mRequest).value().mEarlierSends == 0);
+  call.mDone(Packed(JobReplyKind::Accepted));
+  REQUIRE(fixture.mReply);
+  CHECK(fixture.mReply->mKind == JobReplyKind::Accepted);
+  CHECK(fixture.mGateway.OpenCalls() == 0);
+}
+
+TEST_CASE("Gateway: without a leader a call is refused soon, as not run")
+{
+  GatewayFixture fixture;
+  fixture.mLeader = "none";
+  fixture.Run(milliseconds(100));
+  CHECK_FALSE(fixture.mGateway.IsReady());
+  fixture.Submit();
+  fixture.Run(milliseconds(60));
+  REQUIRE(fixture.mReply);
+  CHECK(fixture.mReply->mKind == JobReplyKind::Unavailable);
+  CHECK(fixture.mReply->mRetryAfterMs >= 500);
+  CHECK(fixture.mRpc.Jobs().empty());
+}
+
+TEST_CASE("Gateway: a call whose leader is lost goes to the next one, marked")
+{
+  GatewayFixture fixture;
+  fixture.Run(milliseconds(100));
+  fixture.Submit();
+  const HeldRpc::Held first = fixture.mRpc.TakeJob();
+  std::uint32_t expected = 1;
+  SECTION("its connection ends")
+  {
+    first.mDone(Error(ErrorKind::PeerTimeout, "connection lost"));
+  }
+  SECTION("it does not answer any more")
+  {
+    fixture.mSilent.insert("a");
+  }
+  SECTION("it never had it")
+  {
+    first.mDone(Error(ErrorKind::NotLeader, "b"));
+    expected = 0;
+  }
+  fixture.mLeader = "b";
+  fixture.mTerm = 3;
+  fixture.Run(milliseconds(800));
+  REQUIRE(fixture.mRpc.Jobs().size() == 1);
+  const HeldRpc::Held second = fixture.mRpc.TakeJob();
+  CHECK(second.mTo == "b");
+  CHECK(UnpackMessage<JobCall>(second.mRequest).value().mEarlierSends ==
+        expected);
+  second.mDone(Packed(JobReplyKind::Accepted));
+  CHECK(fixture.mReply->mKind == JobReplyKind::Accepted);
+}
+
+TEST_CASE("Gateway: a call that reached a leader is never said to be not run")
+{
+  GatewayFixture fixture;
+  fixture.Run(milliseconds(100));
+  fixture.Submit(500);
+  const HeldRpc::Held call = fixture.mRpc.TakeJob();
+  fixture.mSilent = { "a", "b", "c" };
+  SECTION("it ends without an answer")
+  {
+    call.mDone(Error(ErrorKind::PeerTimeout, "connection lost"));
+  }
+  SECTION("nothing comes back at all") {}
+  fixture.Run(milliseconds(600));
+  REQUIRE(fixture.mReply);
+  CHECK(fixture.mReply->mKind == JobReplyKind::Unknown);
+}
+
+TEST_CASE("Gateway: an answer to an earlier sending is dropped")
+{
+  GatewayFixture fixture;
+  fixture.Run(milliseconds(100));
+  fixture.Submit(5000);
+  const HeldRpc::Held first = fixture.mRpc.TakeJob();
+  fixture.mSilent.insert("a");
+  fixture.mLeader = "b";
+  fixture.mTerm = 3;
+  fixture.Run(milliseconds(800));
+  REQUIRE(fixture.mRpc.Jobs().size() == 1);
+  first.mDone(Packed(JobReplyKind::Refused));
+  CHECK_FALSE(fixture.mReply);
+}
+
+TEST_CASE("Gateway: before a stop every open call gets its answer")
+{
+  GatewayFixture fixture;
+  fixture.Run(milliseconds(100));
+  fixture.Submit(60'000);
+  fixture.mGateway.AnswerAll();
+  REQUIRE(fixture.mReply);
+  CHECK(fixture.mReply->mKind == JobReplyKind::Unknown);
+  CHECK(fixture.mGateway.OpenCalls() == 0);
+}
+
+TEST_CASE("Leader finder: an earlier leader that answers late is not believed")
+{
+  GatewayFixture fixture;
+  fixture.mTerm = 5;
+  fixture.Run(milliseconds(100));
+  CHECK(fixture.mFinder.Leader() == "a");
+  fixture.mLeader = "b";
+  fixture.mTerm = 4;
+  fixture.mSilent.insert("a");
+  fixture.Run(milliseconds(1000));
+  CHECK_FALSE(fixture.mFinder.Leader());
+  fixture.mTerm = 6;
+  fixture.Run(milliseconds(200));
+  CHECK(fixture.mFinder.Leader() == "b");
+}
--- /dev/null
+++ b/Tests/Dispatch/NodeSettingsTest.cxx
@@ -0,0 +1,98 @@
+#include <catch2/catch.hpp>
+
+#include "Dispatch/NodeSettings.h"
+#include "Dispatch/PeerNames.h"
+
+using namespace almondspoke;
+using namespace almondspoke::dispatch;
+
+namespace {
+
+const std::string kCoordinator = "[node]\n"
+                                 "name = c1\n"
+                                 "data-centre = zagreb\n"
+                                 "address = 10.1.0.15\n"
+                                 "peer-port = 7720\n"
+                                 "seeds = 10.1.0.15:8166, 10.2.0.32:8166\n"
+                                 "role = coordinator\n"
+                                 "control = 10.1.0.15:8166\n"
+                                 "data-folder = /data\n"
+                                 "may-found = true\n"
+                                 "tolerated-losses = 2\n"
+                                 "max-hold-ms = 900\n";
+
+std::string
+Without(const std::string& aKey)
+{
+  std::string text = kCoordinator;
+  const std::size_t start = text.find("\n" + aKey + " =") + 1;
+  text.erase(start, text.find('\n', start) - start + 1);
+  return text;
+}
+
+}
+
+TEST_CASE("Node settings: all keys are read")
+{
+  const auto settings = ParseNodeSettings("f.ini", kCoordinator);
+  REQUIRE(settings);
+  CHECK(settings.value().mRole == NodeRole::Coordinator);
+  CHECK(settings.value().mToleratedLosses == 2);
+  CHECK(settings.value().mMayFound);
+  CHECK(settings.value().mMaxHold.count() == 900);
+  CHECK(SeedNamesOf(settings.value()) ==
+        std::vector<InstanceName>{ "10.1.0.15:7720", "10.2.0.32:7720" });
+}
+
+TEST_CASE("Node settings: what is wrong is named with what is allowed")
+{
+  struct Row
+  {
+    const char* mLine;
+    const char* mNamed;
+  };
+  for (const Row& row : { Row{ "role = boss", "coordinator, gateway" },
+                          Row{ "peer-port = 0", "1 to 65535" },
+                          Row{ "peer-port = x", "1 to 65535" },
+                          Row{ "may-found = yes", "true, false" },
+                          Row{ "tolerated-losses = 9", "0 to 4" },
+                          Row{ "max-hold-ms = 0", "1 to 600000" },
+                          Row{ "colour = red", "unknown key" } }) {
+    INFO(row.mLine);
+    const auto settings =
+      ParseNodeSettings("f.ini", kCoordinator + row.mLine + "\n");
+    REQUIRE_FALSE(settings);
+    CHECK(settings.error().Message().find("f.ini:13") != std::string::npos);
+    CHECK(settings.error().Message().find(row.mNamed) != std::string::npos);
+  }
+}
+
+TEST_CASE("Node settings: each key that a role needs is asked for")
+{
+  for (const char* key :
+       { "name", "address", "peer-port", "seeds", "control", "data-folder" }) {
+    INFO(key);
+    const auto settings = ParseNodeSettings("f.ini", Without(key));
+    REQUIRE_FALSE(settings);
+    CHECK(settings.error().Message().find(std::string(key) + " is missing") !=
+          std::string::npos);
+  }
+}
+
+TEST_CASE("Peer names: a name is the address of an instance")
+{
+  CHECK(PeerNameOf("10.1.0.2", 7720) == "10.1.0.2:7720");
+  REQUIRE(PeerEndpointOf("10.1.0.2:7720"));
+  CHECK(PeerEndpointOf("10.1.0.2:7720")->port() == 7720);
+  for (const char* name : { "",
+                            "zagreb-1",
+                            "10.1.0.2",
+                            "10.1.0.2:",
+                            "10.1.0.2:0",
+                            "x:1",
+                            "10.1.0.2:99999",
+                            "10.1.0.2:12x" }) {
+    INFO(name);
+    CHECK_FALSE(PeerEndpointOf(name));
+  }
+}
--- /dev/null
+++ b/Tests/Dispatch/SimulatedFleet.cxx
@@ -0,0 +1,505 @@
+#include "Dispatch/SimulatedFleet.h"
+
+#include <algorithm>
+
+namespace almondspoke::testing {
+
+namespace {
+
+using dispatch::HoldOrder;
+using dispatch::HoldResult;
+using dispatch::OrderOutcome;
+using dispatch::OrderResult;
+using dispatch::RunEnd;
+using dispatch::StartOrder;
+using dispatch::StopOrder;
+using dispatch::TaskId;
+using dispatch::WorkerTime;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWay{ 2 };
+constexpr milliseconds kMaxHold{ 1000 };
+constexpr milliseconds kStopTime{ 20 };
+
+std::string
+NameOf(const TaskId& aTask)
+{
+  return aTask.mJob + "." + std::to_string(aTask.mStep) + "." +
+         std::to_string(aTask.mIndex);
+}
+
+}
+
+SimulatedFleet::SimulatedFleet(ManualClock& aClock, std::uint64_t aSeed)
+  : mClock(aClock)
+  , mRandom(aSeed)
+{
+}
+
+dispatch::WorkerReport
+SimulatedFleet::AddWorker(const std::string& aId, std::uint32_t aMilliCores)
+{
+  Worker& worker = mWorkers[aId];
+  worker.mBooted = mClock.MonotonicNow();
+  worker.mReport.mBoot = { aId, 1 };
+  worker.mReport.mPool = "pool";
+  worker.mReport.mAddress = aId;
+  worker.mReport.mCapacity = { aMilliCores, 64'000, 0 };
+  worker.mReport.mSequence = 1;
+  return worker.mReport;
+}
+
+void
+SimulatedFleet::Crash(const std::string& aId)
+{
+  Worker& worker = mWorkers.at(aId);
+  worker.mUp = false;
+  worker.mRunning.clear();
+  worker.mEnded.clear();
+  worker.mHolds.clear();
+  worker.mHighest.clear();
+}
+
+dispatch::WorkerReport
+SimulatedFleet::Restart(const std::string& aId)
+{
+  Crash(aId);
+  Worker& worker = mWorkers.at(aId);
+  worker.mUp = true;
+  worker.mBooted = mClock.MonotonicNow();
+  worker.mFence = 0;
+  worker.mNextEnd = 1;
+  worker.mLeaseEnds = {};
+  ++worker.mReport.mBoot.mBornMs;
+  worker.mReport.mSequence = 1;
+  return worker.mReport;
+}
+
+SimulatedFleet::Weather&
+SimulatedFleet::WeatherOf(const std::string& aId)
+{
+  return mWorkers.at(aId).mWeather;
+}
+
+SimulatedFleet::Manner&
+SimulatedFleet::MannerOf(const std::string& aId)
+{
+  return mWorkers.at(aId).mManner;
+}
+
+void
+SimulatedFleet::Describe(const std::string& aJob, JobTruth aTruth)
+{
+  mTruth[aJob] = aTruth;
+}
+
+void
+SimulatedFleet::Step()
+{
+  mClock.Advance(milliseconds(1));
+  const TimePoint now = mClock.MonotonicNow();
+  while (!mEvents.empty() && mEvents.begin()->first <= now) {
+    const std::function<void()> event = std::move(mEvents.begin()->second);
+    mEvents.erase(mEvents.begin());
+    event();
+  }
+  for (auto& [id, worker] : mWorkers) {
+    if (worker.mUp) {
+      LetRunsEnd(worker);
+      AnswerHolds(worker);
+    }
+  }
+}
+
+void
+SimulatedFleet::After(Milliseconds aDelay, std::function<void()> aWhat)
+{
+  mEvents.emplace(mClock.MonotonicNow() + aDelay, std::move(aWhat));
+}
+
+SimulatedFleet::Worker*
+SimulatedFleet::Reached(const dispatch::OrderTarget& aTarget)
+{
+  const auto worker = mWorkers.find(aTarget.mBoot.mId);
+  const bool reached = worker != mWorkers.end() && worker->second.mUp &&
+                       !worker->second.mWeather.mCut;
+  return reached ? &worker->second : nullptr;
+}
+
+WorkerTime
+SimulatedFleet::ClockOf(const Worker& aWorker) const
+{
+  // Clocks of workers are up to 2% slow.
+  return 1000 +
+         duration_cast<milliseconds>(mClock.MonotonicNow() - aWorker.mBooted)
+             .count() *
+           98 / 100;
+}
+
+OrderResult
+SimulatedFleet::Answer(const Worker& aWorker, OrderOutcome aOutcome) const
+{
+  return { aOutcome, ClockOf(aWorker) };
+}
+
+void
+SimulatedFleet::Extend(Worker& aWorker, WorkerTime aUntil)
+{
+  const milliseconds left(
+    std::min<WorkerTime>(aUntil - ClockOf(aWorker), kMaxHold.count()));
+  const TimePoint ends = mClock.MonotonicNow() + left * 100 / 98;
+  aWorker.mLeaseEnds = std::max(aWorker.mLeaseEnds, ends);
+}
+
+void
+SimulatedFleet::CheckStart(const Worker& aWorker, const TaskId& aTask)
+{
+  const JobTruth& truth = mTruth[aTask.mJob];
+  std::uint32_t used = truth.mNeeds.mMilliCores;
+  for (const auto& [task, run] : aWorker.mRunning) {
+    used += mTruth[task.mJob].mNeeds.mMilliCores;
+  }
+  if (used > aWorker.mReport.mCapacity.mMilliCores) {
+    Fail("over the room of " + aWorker.mReport.mBoot.mId + ": " +
+         NameOf(aTask));
+  }
+  for (const auto& [id, worker] : mWorkers) {
+    if (worker.mUp && worker.mRunning.count(aTask) != 0) {
+      Fail("two runs at a time: " + NameOf(aTask));
+    }
+  }
+  if (mSettledTasks.count(aTask) != 0) {
+    Fail("started after its acknowledged end: " + NameOf(aTask));
+  }
+}
+
+OrderOutcome
+SimulatedFleet::CarryOutStart(Worker& aWorker, const StartOrder& aOrder)
+{
+  if (aOrder.mTarget.mBoot != aWorker.mReport.mBoot) {
+    return OrderOutcome::OtherBoot;
+  }
+  if (aOrder.mTarget.mFence < aWorker.mFence) {
+    return OrderOutcome::Fenced;
+  }
+  aWorker.mFence = aOrder.mTarget.mFence;
+  if (aOrder.mLeaseUntil <= ClockOf(aWorker)) {
+    return OrderOutcome::Late;
+  }
+  Extend(aWorker, aOrder.mLeaseUntil);
+  const TaskId& task = aOrder.mRun.mTask;
+  const auto present = aWorker.mRunning.find(task);
+  if (present != aWorker.mRunning.end() &&
+      present->second.mNumber == aOrder.mRun.mNumber) {
+    return OrderOutcome::Done;
+  }
+  if (aOrder.mRun.mNumber <= aWorker.mHighest[task]) {
+    return OrderOutcome::Superseded;
+  }
+  CheckStart(aWorker, task);
+  ++mStarts[task.mJob];
+  Run run;
+  run.mNumber = aOrder.mRun.mNumber;
+  run.mBegan = mClock.MonotonicNow();
+  const double length =
+    static_cast<double>(mTruth[task.mJob].mDuration.count()) *
+    aWorker.mManner.mSlowness;
+  run.mEnds = aWorker.mManner.mHangs
+                ? TimePoint::max()
+                : run.mBegan + milliseconds(static_cast<std::int64_t>(length));
+  aWorker.mRunning[task] = run;
+  aWorker.mHighest[task] = run.mNumber;
+  return OrderOutcome::Done;
+}
+
+void
+SimulatedFleet::Start(const StartOrder& aOrder,
+                      Milliseconds aTimeout,
+                      const dispatch::WorkerCalls::OrderDone& aDone)
+{
+  const Worker* target = Reached(aOrder.mTarget);
+  const bool late = target != nullptr && Chance(target->mWeather.mLate);
+  if (late) {
+    const milliseconds delay(
+      std::uniform_int_distribution<int>(2000, 12'000)(mRandom));
+    After(delay, [this, aOrder] {
+      if (Worker* worker = Reached(aOrder.mTarget)) {
+        CarryOutStart(*worker, aOrder);
+      }
+    });
+    After(aTimeout, [aDone] { aDone({ OrderOutcome::Unknown, 0 }); });
+    return;
+  }
+  After(kWay, [this, aOrder, aTimeout, aDone] {
+    Worker* worker = Reached(aOrder.mTarget);
+    if (worker == nullptr) {
+      After(aTimeout, [aDone] { aDone({ OrderOutcome::Unknown, 0 }); });
+      return;
+    }
+    const OrderResult result = Answer(*worker, CarryOutStart(*worker, aOrder));
+    if (worker->mWeather.mDeaf) {
+      After(aTimeout, [aDone] { aDone({ OrderOutcome::Unknown, 0 }); });
+      return;
+    }
+    After(kWay, [aDone, result] { aDone(result); });
+  });
+}
+
+void
+SimulatedFleet::Stop(const StopOrder& aOrder,
+                     Milliseconds aTimeout,
+                     const dispatch::WorkerCalls::OrderDone& aDone)
+{
+  After(kWay, [this, aOrder, aTimeout, aDone] {
+    Worker* worker = Reached(aOrder.mTarget);
+    if (worker == nullptr) {
+      After(aTimeout, [aDone] { aDone({ OrderOutcome::Unknown, 0 }); });
+      return;
+    }
+    OrderOutcome outcome = OrderOutcome::Done;
+    if (aOrder.mTarget.mBoot != worker->mReport.mBoot) {
+      outcome = OrderOutcome::OtherBoot;
+    } else if (aOrder.mTarget.mFence < worker->mFence) {
+      outcome = OrderOutcome::Fenced;
+    } else {
+      worker->mFence = aOrder.mTarget.mFence;
+      dispatch::RunNumber& highest = worker->mHighest[aOrder.mRun.mTask];
+      highest = std::max(highest, aOrder.mRun.mNumber);
+      const auto run = worker->mRunning.find(aOrder.mRun.mTask);
+      if (run != worker->mRunning.end() &&
+          run->second.mNumber == aOrder.mRun.mNumber) {
+        run->second.mStopping = true;
+        run->second.mEnds =
+          std::min(run->second.mEnds, mClock.MonotonicNow() + kStopTime);
+      }
+    }
+    const OrderResult result = Answer(*worker, outcome);
+    const milliseconds way = worker->mWeather.mDeaf ? aTimeout : kWay;
+    const bool heard = !worker->mWeather.mDeaf;
+    After(way, [aDone, result, heard] {
+      aDone(heard ? result : OrderResult{ OrderOutcome::Unknown, 0 });
+    });
+  });
+}
+
+void
+SimulatedFleet::Hold(const HoldOrder& aOrder,
+                     Milliseconds aTimeout,
+                     const dispatch::WorkerCalls::HoldDone& aDone)
+{
+  // The one of answer and timeout that comes first counts.
+  const auto open = std::make_shared<bool>(true);
+  const auto finish = [open, aDone](const HoldResult& aResult) {
+    if (*open) {
+      *open = false;
+      aDone(aResult);
+    }
+  };
+  After(aTimeout, [finish] { finish({}); });
+  After(kWay, [this, aOrder, finish] {
+    Worker* worker = Reached(aOrder.mTarget);
+    if (worker == nullptr) {
+      return;
+    }
+    HoldResult refusal;
+    refusal.mClock = ClockOf(*worker);
+    if (aOrder.mTarget.mBoot != worker->mReport.mBoot) {
+      refusal.mOutcome = OrderOutcome::OtherBoot;
+      After(kWay, [finish, refusal] { finish(refusal); });
+      return;
+    }
+    if (aOrder.mTarget.mFence < worker->mFence) {
+      refusal.mOutcome = OrderOutcome::Fenced;
+      After(kWay, [finish, refusal] { finish(refusal); });
+      return;
+    }
+    ++worker->mHoldsSeen;
+    worker->mFence = aOrder.mTarget.mFence;
+    if (aOrder.mLeaseUntil > 0) {
+      Extend(*worker, aOrder.mLeaseUntil);
+    }
+    auto& ended = worker->mEnded;
+    while (!ended.empty() && ended.front().mNumber <= aOrder.mAcknowledged) {
+      const TaskId& task = ended.front().mRun.mTask;
+      if (ended.front().mEnd == RunEnd::Done && mTruth[task.mJob].mStored) {
+        mSettledTasks.insert(task);
+      }
+      ended.erase(ended.begin());
+    }
+    const std::string id = worker->mReport.mBoot.mId;
+    worker->mHolds.push_back({ aOrder.mAcknowledged,
+                               mClock.MonotonicNow() + aOrder.mWait,
+                               [this, id, finish] {
+                                 const Worker& answering = mWorkers.at(id);
+                                 if (answering.mWeather.mDeaf) {
+                                   return;
+                                 }
+                                 const HoldResult lists = ListsOf(answering);
+                                 After(kWay,
+                                       [finish, lists] { finish(lists); });
+                               } });
+  });
+}
+
+HoldResult
+SimulatedFleet::ListsOf(const Worker& aWorker) const
+{
+  HoldResult result;
+  result.mOutcome = OrderOutcome::Done;
+  result.mClock = ClockOf(aWorker);
+  result.mBornMs = aWorker.mReport.mBoot.mBornMs;
+  const TimePoint now = mClock.MonotonicNow();
+  for (const auto& [task, run] : aWorker.mRunning) {
+    dispatch::ListedRun listed;
+    listed.mRun = { task, run.mNumber };
+    if (run.mEnds != TimePoint::max() && !run.mStopping) {
+      listed.mPercent = static_cast<std::uint32_t>(
+        100 * (now - run.mBegan).count() / (run.mEnds - run.mBegan).count());
+    }
+    result.mRunning.push_back(listed);
+  }
+  result.mEnded = aWorker.mEnded;
+  return result;
+}
+
+void
+SimulatedFleet::End(Worker& aWorker, TaskId aTask, RunEnd aEnd)
+{
+  dispatch::ListedEnd end;
+  end.mNumber = aWorker.mNextEnd++;
+  end.mRun = { aTask, aWorker.mRunning.at(aTask).mNumber };
+  end.mEnd = aEnd;
+  aWorker.mEnded.push_back(end);
+  aWorker.mRunning.erase(aTask);
+}
+
+void
+SimulatedFleet::LetRunsEnd(Worker& aWorker)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  std::vector<std::pair<TaskId, RunEnd>> ended;
+  for (const auto& [task, run] : aWorker.mRunning) {
+    if (now > aWorker.mLeaseEnds) {
+      ended.emplace_back(task, RunEnd::Lapsed);
+    } else if (now >= run.mEnds) {
+      const RunEnd how = aWorker.mManner.mFails ? RunEnd::Failed : RunEnd::Done;
+      ended.emplace_back(task, run.mStopping ? RunEnd::Stopped : how);
+    }
+  }
+  for (const auto& [task, how] : ended) {
+    End(aWorker, task, how);
+  }
+}
+
+void
+SimulatedFleet::AnswerHolds(Worker& aWorker)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  std::vector<WaitingHold> waiting;
+  waiting.swap(aWorker.mHolds);
+  for (WaitingHold& hold : waiting) {
+    const bool news = !aWorker.mEnded.empty() &&
+                      aWorker.mEnded.back().mNumber > hold.mAcknowledged;
+    if (news || now >= hold.mUntil) {
+      hold.mAnswer();
+    } else {
+      aWorker.mHolds.push_back(std::move(hold));
+    }
+  }
+}
+
+std::size_t
+SimulatedFleet::StartsOf(const std::string& aJob) const
+{
+  const auto starts = mStarts.find(aJob);
+  return starts == mStarts.end() ? 0 : starts->second;
+}
+
+std::size_t
+SimulatedFleet::RunningOn(const std::string& aId) const
+{
+  return mWorkers.at(aId).mRunning.size();
+}
+
+std::size_t
+SimulatedFleet::Running() const
+{
+  std::size_t running = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    running += worker.mRunning.size();
+  }
+  return running;
+}
+
+std::size_t
+SimulatedFleet::HoldsOf(const std::string& aId) const
+{
+  return mWorkers.at(aId).mHoldsSeen;
+}
+
+void
+SimulatedFleet::Fail(const std::string& aWhat)
+{
+  mErrors.push_back(aWhat);
+}
+
+bool
+SimulatedFleet::Chance(double aPart)
+{
+  return std::uniform_real_distribution<double>(0, 1)(mRandom) < aPart;
+}
+
+void
+LeaderPort::Start(const StartOrder& aOrder,
+                  milliseconds aTimeout,
+                  OrderDone aDone)
+{
+  if (mEnded) {
+    mFleet.After(milliseconds(1), [done = std::move(aDone)] {
+      OrderResult result;
+      result.mOutcome = OrderOutcome::NotSent;
+      done(result);
+    });
+    return;
+  }
+  mFleet.After(mDelay, [this, aOrder, aTimeout, done = std::move(aDone)] {
+    mFleet.Start(aOrder, aTimeout, done);
+  });
+}
+
+void
+LeaderPort::Stop(const StopOrder& aOrder,
+                 milliseconds aTimeout,
+                 OrderDone aDone)
+{
+  if (mEnded) {
+    mFleet.After(milliseconds(1), [done = std::move(aDone)] {
+      OrderResult result;
+      result.mOutcome = OrderOutcome::NotSent;
+      done(result);
+    });
+    return;
+  }
+  mFleet.After(mDelay, [this, aOrder, aTimeout, done = std::move(aDone)] {
+    mFleet.Stop(aOrder, aTimeout, done);
+  });
+}
+
+void
+LeaderPort::Hold(const HoldOrder& aOrder, milliseconds aTimeout, HoldDone aDone)
+{
+  if (mEnded) {
+    mFleet.After(milliseconds(1), [done = std::move(aDone)] {
+      HoldResult result;
+      result.mOutcome = OrderOutcome::NotSent;
+      done(result);
+    });
+    return;
+  }
+  mFleet.After(mDelay, [this, aOrder, aTimeout, done = std::move(aDone)] {
+    mFleet.Hold(aOrder, aTimeout, done);
+  });
+}
+
+}
--- /dev/null
+++ b/Tests/Dispatch/StateTest.cxx
@@ -0,0 +1,244 @@
+#include <catch2/catch.hpp>
+
+#include "Dispatch/DispatchState.h"
+#include "Dispatch/DispatchStateMachine.h"
+#include "Dispatch/WorkerDirectory.h"
+#include "Support/ManualClock.h"
+
+using namespace almondspoke;
+using namespace almondspoke::dispatch;
+using std::chrono::milliseconds;
+
+namespace {
+
+Manifest
+ManifestOf(std::uint64_t aVersion)
+{
+  Manifest manifest;
+  manifest.mVersion = aVersion;
+  manifest.mPools.push_back({ "pool", false, 64 });
+  Queue queue;
+  queue.mName = "q";
+  queue.mHost = "desk";
+  queue.mPathPrefix = "/a/";
+  queue.mPool = "pool";
+  queue.mTimeoutMs = 100;
+  manifest.mQueues.push_back(queue);
+  manifest.mText = "text of " + std::to_string(aVersion);
+  return manifest;
+}
+
+AcceptRecord
+AcceptOf(const JobId& aId, std::uint32_t aTasks)
+{
+  AcceptRecord record;
+  record.mSubmission.mId = aId;
+  record.mSubmission.mPayload = "payload";
+  StepSpec step;
+  step.mCount = aTasks;
+  record.mSubmission.mSteps.push_back(step);
+  record.mQueue.mMaxAttempts = 2;
+  return record;
+}
+
+WorkerReport
+ReportOf(std::uint64_t aBorn, std::uint64_t aSequence)
+{
+  WorkerReport report;
+  report.mBoot = { "w", aBorn };
+  report.mSequence = aSequence;
+  return report;
+}
+
+}
+
+TEST_CASE("Dispatch state: the highest manifest wins, whatever the order")
+{
+  std::vector<std::uint64_t> seen;
+  DispatchStateMachine machine(
+    [&](const std::shared_ptr<const Manifest>& aManifest) {
+      seen.push_back(aManifest->mVersion);
+    });
+  CHECK(machine.CurrentManifest() == nullptr);
+  for (const std::uint64_t version : { 3, 7, 5, 7, 9 }) {
+    Manifest manifest = ManifestOf(version);
+    manifest.mText += seen.size() == 2 ? " again" : "";
+    const std::string response =
+      machine.Apply(1, DispatchStateMachine::CommandOf(manifest));
+    CHECK(DispatchStateMachine::HasTakenEffect(response));
+  }
+  CHECK(seen == std::vector<std::uint64_t>{ 3, 7, 9 });
+  CHECK(machine.CurrentManifest()->mText == "text of 9 again");
+}
+
+TEST_CASE("Dispatch state: a snapshot holds everything")
+{
+  DispatchStateMachine machine([](const auto&) {});
+  machine.Apply(1, DispatchStateMachine::CommandOf(ManifestOf(4)));
+  RecordBatch batch;
+  batch.mFence = 3;
+  batch.mEnlisted.push_back(ReportOf(5, 1));
+  batch.mAccepted.push_back(AcceptOf("j", 2));
+  batch.mEnds.push_back({ "j", 0, 1, 1, true, "saved" });
+  machine.Apply(2, DispatchStateMachine::CommandOf(batch));
+  std::uint64_t restored = 0;
+  DispatchStateMachine other(
+    [&](const std::shared_ptr<const Manifest>& aManifest) {
+      restored = aManifest->mVersion;
+    });
+  REQUIRE(other.RestoreSnapshot(machine.TakeSnapshot()));
+  CHECK(restored == 4);
+  CHECK(other.TakeSnapshot() == machine.TakeSnapshot());
+  CHECK(other.CurrentState().mJobs.at("j").mTasks[0][1].mDone);
+  CHECK(other.CurrentState().mWorkers.at("w").mBoot.mBornMs == 5);
+}
+
+TEST_CASE("Dispatch state: a leader that was followed changes nothing more")
+{
+  DispatchState state;
+  RecordBatch batch;
+  batch.mFence = 4;
+  CHECK(ApplyBatch(state, batch));
+  RecordBatch late;
+  late.mFence = 3;
+  late.mAccepted.push_back(AcceptOf("j", 1));
+  CHECK_FALSE(ApplyBatch(state, late));
+  CHECK(state.mJobs.empty());
+}
+
+TEST_CASE("Dispatch state: batches that are stored twice count once")
+{
+  DispatchState state;
+  RecordBatch batch;
+  batch.mAccepted.push_back(AcceptOf("j", 2));
+  batch.mEnds.push_back({ "j", 0, 0, 1, false, "" });
+  ApplyBatch(state, batch);
+  ApplyBatch(state, batch);
+  CHECK(state.mJobs.at("j").mTasks[0][0].mFailures == 1);
+  CHECK(state.mJobs.at("j").mState == JobState::Running);
+  RecordBatch second;
+  second.mEnds.push_back({ "j", 0, 0, 2, false, "" });
+  ApplyBatch(state, second);
+  CHECK(state.mJobs.at("j").mState == JobState::Failed);
+}
+
+TEST_CASE("Dispatch state: a job is completed with its last task, and stays so")
+{
+  DispatchState state;
+  RecordBatch batch;
+  batch.mTimeMs = 100;
+  batch.mAccepted.push_back(AcceptOf("j", 2));
+  batch.mEnds.push_back({ "j", 0, 0, 1, true, "" });
+  ApplyBatch(state, batch);
+  CHECK(state.mJobs.at("j").mState == JobState::Running);
+  RecordBatch last;
+  last.mTimeMs = 200;
+  last.mEnds.push_back({ "j", 0, 1, 1, true, "" });
+  ApplyBatch(state, last);
+  CHECK(state.mJobs.at("j").mState == JobState::Completed);
+  CHECK(state.mJobs.at("j").mEndedMs == 200);
+  RecordBatch cancel;
+  cancel.mCancelled.push_back("j");
+  ApplyBatch(state, cancel);
+  CHECK(state.mJobs.at("j").mState == JobState::Completed);
+  RecordBatch forget;
+  forget.mForgotten.push_back("j");
+  ApplyBatch(state, forget);
+  CHECK(state.mJobs.empty());
+}
+
+TEST_CASE("Dispatch state: only the boot that is named is dismissed")
+{
+  DispatchState state;
+  RecordBatch batch;
+  batch.mEnlisted.push_back(ReportOf(5, 1));
+  batch.mDismissed.push_back({ "w", 4 });
+  ApplyBatch(state, batch);
+  CHECK(state.mWorkers.size() == 1);
+  RecordBatch dismiss;
+  dismiss.mDismissed.push_back({ "w", 5 });
+  ApplyBatch(state, dismiss);
+  CHECK(state.mWorkers.empty());
+}
+
+TEST_CASE("Dispatch state: ends that name no task of a job change nothing")
+{
+  DispatchState state;
+  RecordBatch batch;
+  batch.mAccepted.push_back(AcceptOf("j", 1));
+  batch.mEnds.push_back({ "other", 0, 0, 1, true, "" });
+  batch.mEnds.push_back({ "j", 7, 0, 1, true, "" });
+  batch.mEnds.push_back({ "j", 0, 7, 1, true, "" });
+  ApplyBatch(state, batch);
+  CHECK(state.mJobs.at("j").mState == JobState::Queued);
+}
+
+TEST_CASE("Dispatch state: bytes that are no command change nothing")
+{
+  DispatchStateMachine machine([](const auto&) {});
+  const std::string before = machine.TakeSnapshot();
+  for (const char* bytes : { "", "M", "B", "Bxyz", "Mxyz", "?" }) {
+    CHECK_FALSE(DispatchStateMachine::HasTakenEffect(machine.Apply(1, bytes)));
+  }
+  CHECK(machine.TakeSnapshot() == before);
+  CHECK_FALSE(machine.RestoreSnapshot("no snapshot"));
+}
+
+TEST_CASE("Manifest: the longest prefix of the host decides")
+{
+  Manifest manifest = ManifestOf(1);
+  Queue longer = manifest.mQueues.front();
+  longer.mName = "longer";
+  longer.mPathPrefix = "/a/b/";
+  manifest.mQueues.push_back(longer);
+  CHECK(FindQueue(manifest, "desk", "/a/x").mQueue->mName == "q");
+  CHECK(FindQueue(manifest, "desk", "/a/b/x").mQueue->mName == "longer");
+  CHECK(FindQueue(manifest, "desk", "/a/b/x").mRest == "x");
+  CHECK(FindQueue(manifest, "desk", "/b/").mQueue == nullptr);
+  CHECK(FindQueue(manifest, "other", "/a/x").mQueue == nullptr);
+}
+
+TEST_CASE("Manifest: an inconsistent one is refused with the queue's name")
+{
+  Manifest manifest = ManifestOf(1);
+  REQUIRE(CheckManifest(manifest));
+  std::string named = "'q'";
+  SECTION("unknown pool")
+  {
+    manifest.mQueues.front().mPool = "none";
+  }
+  SECTION("no timeout")
+  {
+    manifest.mQueues.front().mTimeoutMs = 0;
+  }
+  SECTION("two queues at one place")
+  {
+    manifest.mQueues.push_back(manifest.mQueues.front());
+  }
+  SECTION("no version")
+  {
+    manifest.mVersion = 0;
+    named = "version 0";
+  }
+  const Result<void> checked = CheckManifest(manifest);
+  REQUIRE_FALSE(checked);
+  CHECK(checked.error().Message().find(named) != std::string::npos);
+}
+
+TEST_CASE("Workers: the boot and the sequence decide which report is newer")
+{
+  testing::ManualClock clock;
+  WorkerDirectory directory(milliseconds(1000));
+  const auto now = clock.MonotonicNow();
+  CHECK(directory.Take(ReportOf(10, 5), now));
+  CHECK_FALSE(directory.Take(ReportOf(10, 4), now));
+  CHECK_FALSE(directory.Take(ReportOf(9, 90), now));
+  CHECK(directory.Take(ReportOf(11, 1), now));
+  CHECK(directory.Find("w")->mBoot.mBornMs == 11);
+  REQUIRE(directory.MarkLeft("w", now));
+  CHECK(directory.Find("w")->mLeft);
+  CHECK_FALSE(directory.MarkLeft("other", now));
+  CHECK(directory.Expire(now + milliseconds(1000)).empty());
+  CHECK(directory.Expire(now + milliseconds(1001)) ==
+        std::vector<WorkerId>{ "w" });
+}
