--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -19,6 +19,7 @@
 #include "Dispatch/Admission.h"
 #include "Dispatch/DispatchJob.h"
 #include "Dispatch/DispatchState.h"
+#include "Dispatch/LatencyHistogram.h"
 #include "Dispatch/Placement.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Dispatch/WorkerSession.h"
@@ -89,6 +90,14 @@
   std::uint64_t mStragglers = 0;
 };
 
+/** \brief How long what took, since a Coordinator was made. */
+struct CoordinatorLatencies
+{
+  LatencyHistogram mJobs;
+  LatencyHistogram mFirstStarts;
+  LatencyHistogram mStartAnswers;
+};
+
 /** \brief Decides, on the leader, which job runs where.
  *
  * Driven by calls from outside and by the answers of workers; reads the time
@@ -133,6 +142,7 @@
   void Tick();
 
   const CoordinatorCounters& Counters() const { return mCounters; }
+  const CoordinatorLatencies& Latencies() const { return mLatencies; }
   const WorkerSessions& Workers() const { return mWorkers; }
   std::size_t OpenJobs() const;
   std::size_t AssignedRuns() const;
@@ -275,6 +285,7 @@
   /** Workers with runs whose jobs are not known here. */
   std::set<WorkerId> mUnclaimed;
   CoordinatorCounters mCounters;
+  CoordinatorLatencies mLatencies;
 };
 
 }
--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -133,6 +133,7 @@
   const TimePoint now = mClock.MonotonicNow();
   aJob.mState = aState;
   aJob.mEnded = now;
+  mLatencies.mJobs.Add(duration_cast<milliseconds>(now - aJob.mArrived));
   mReady.erase({ OrderOf(aJob), aJob.mSubmission.mId });
   mCounters.mCompleted += aState == JobState::Completed ? 1 : 0;
   mCounters.mFailed += aState == JobState::Failed ? 1 : 0;
--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -292,6 +292,13 @@
   });
 }
 
+std::uint64_t
+CoordinatorNode::ManifestVersion() const
+{
+  const std::shared_ptr<const Manifest> current = mMachine.CurrentManifest();
+  return current ? current->mVersion : 0;
+}
+
 void
 CoordinatorNode::ScheduleTick()
 {
--- a/Source/Dispatch/CoordinatorNode.h
+++ b/Source/Dispatch/CoordinatorNode.h
@@ -80,6 +80,8 @@
   CoreStatus GroupStatus() const { return mGroup->Status(); }
   bool HoldsLease() const { return mGroup->IsLeader(); }
   std::size_t KnownWorkers() const { return mDirectory.Size(); }
+  /** Version of the manifest in force here; zero before the first. */
+  std::uint64_t ManifestVersion() const;
 
 private:
   void RegisterMethods();
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -95,6 +95,8 @@
   ++aJob.mAssignedTasks;
   task.mWorker = aWorker.Report().mBoot.mId;
   if (!aJob.mStarted) {
+    mLatencies.mFirstStarts.Add(
+      duration_cast<milliseconds>(now - aJob.mArrived));
     aJob.mStarted = true;
     aJob.mState = JobState::Running;
   }
@@ -141,6 +143,8 @@
     return;
   }
   run->mLastBlindHold = worker->mHoldsSent;
+  mLatencies.mStartAnswers.Add(
+    duration_cast<milliseconds>(mClock.MonotonicNow() - run->mSentAt));
   if (run->mPhase == RunPhase::Starting) {
     run->mPhase = RunPhase::Running;
   }
--- /dev/null
+++ b/Source/Dispatch/DispatchMetrics.cxx
@@ -0,0 +1,251 @@
+#include "Dispatch/DispatchMetrics.h"
+
+#include <algorithm>
+#include <limits>
+
+#include <prometheus/text_serializer.h>
+
+namespace almondspoke::dispatch {
+
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+constexpr double kMillisecondsOfSecond = 1000.0;
+
+template<typename Status>
+struct Figure
+{
+  const char* mName;
+  const char* mHelp;
+  std::uint64_t Status::*mField;
+};
+
+constexpr std::array<Figure<CoordinatorCounters>, 13> kCoordinatorFigures = { {
+  { "almondspoke_dispatch_jobs_accepted_total",
+    "Jobs that this leader took",
+    &CoordinatorCounters::mAccepted },
+  { "almondspoke_dispatch_jobs_refused_total",
+    "Jobs refused as not run",
+    &CoordinatorCounters::mRefused },
+  { "almondspoke_dispatch_jobs_completed_total",
+    "Jobs that ended well",
+    &CoordinatorCounters::mCompleted },
+  { "almondspoke_dispatch_jobs_failed_total",
+    "Jobs of which a task failed for good",
+    &CoordinatorCounters::mFailed },
+  { "almondspoke_dispatch_jobs_given_up_total",
+    "Best-effort jobs whose result came too late to be of use",
+    &CoordinatorCounters::mGivenUp },
+  { "almondspoke_dispatch_starts_total",
+    "Orders to start a run",
+    &CoordinatorCounters::mStarts },
+  { "almondspoke_dispatch_stops_total",
+    "Orders to stop a run",
+    &CoordinatorCounters::mStops },
+  { "almondspoke_dispatch_holds_total",
+    "Orders that renew a lease and read the lists of a worker",
+    &CoordinatorCounters::mHolds },
+  { "almondspoke_dispatch_orders_unanswered_total",
+    "Starts without an answer, whose runs are in doubt for a time",
+    &CoordinatorCounters::mUnansweredOrders },
+  { "almondspoke_dispatch_runs_done_total",
+    "Runs that ended well",
+    &CoordinatorCounters::mRunsDone },
+  { "almondspoke_dispatch_runs_failed_total",
+    "Runs that failed",
+    &CoordinatorCounters::mRunsFailed },
+  { "almondspoke_dispatch_runs_lost_total",
+    "Runs that ended with their worker, their lease or their order",
+    &CoordinatorCounters::mRunsLost },
+  { "almondspoke_dispatch_runs_too_slow_total",
+    "Runs that were stopped to be repeated elsewhere",
+    &CoordinatorCounters::mStragglers },
+} };
+
+constexpr std::array<Figure<GatewayCounters>, 4> kGatewayFigures = { {
+  { "almondspoke_gateway_calls_total",
+    "Calls of callers",
+    &GatewayCounters::mCalls },
+  { "almondspoke_gateway_calls_resent_total",
+    "Calls that went to a second leader",
+    &GatewayCounters::mResent },
+  { "almondspoke_gateway_calls_without_leader_total",
+    "Calls refused for want of a leader",
+    &GatewayCounters::mWithoutLeader },
+  { "almondspoke_gateway_calls_unknown_total",
+    "Calls that reached a leader and got no answer in time",
+    &GatewayCounters::mUnknown },
+} };
+
+MetricFamily
+FamilyOf(const char* aName, const char* aHelp, MetricType aType)
+{
+  MetricFamily family;
+  family.name = aName;
+  family.help = aHelp;
+  family.type = aType;
+  family.metric.emplace_back();
+  return family;
+}
+
+MetricFamily
+Gauge(const char* aName, const char* aHelp, double aValue)
+{
+  MetricFamily family = FamilyOf(aName, aHelp, MetricType::Gauge);
+  family.metric.front().gauge.value = aValue;
+  return family;
+}
+
+MetricFamily
+Counter(const char* aName, const char* aHelp, std::uint64_t aValue)
+{
+  MetricFamily family = FamilyOf(aName, aHelp, MetricType::Counter);
+  family.metric.front().counter.value = static_cast<double>(aValue);
+  return family;
+}
+
+MetricFamily
+Histogram(const char* aName,
+          const char* aHelp,
+          const LatencyHistogram& aHistogram)
+{
+  MetricFamily family = FamilyOf(aName, aHelp, MetricType::Histogram);
+  ClientMetric::Histogram& histogram = family.metric.front().histogram;
+  std::uint64_t total = 0;
+  for (std::size_t i = 0; i < LatencyHistogram::kBuckets; ++i) {
+    total += aHistogram.CountOf(i);
+    ClientMetric::Bucket bucket;
+    bucket.cumulative_count = total;
+    const bool last = i + 1 == LatencyHistogram::kBuckets;
+    bucket.upper_bound =
+      last ? std::numeric_limits<double>::infinity()
+           : static_cast<double>(LatencyHistogram::BoundOf(i).count()) /
+               kMillisecondsOfSecond;
+    histogram.bucket.push_back(bucket);
+  }
+  histogram.sample_count = total;
+  histogram.sample_sum =
+    static_cast<double>(aHistogram.Sum().count()) / kMillisecondsOfSecond;
+  return family;
+}
+
+template<typename Status, std::size_t Size>
+void
+AddCounters(const std::array<Figure<Status>, Size>& aFigures,
+            const Status& aStatus,
+            std::vector<MetricFamily>& aInto)
+{
+  for (const Figure<Status>& figure : aFigures) {
+    aInto.push_back(
+      Counter(figure.mName, figure.mHelp, aStatus.*figure.mField));
+  }
+}
+
+}
+
+DispatchMetrics::DispatchMetrics(const EventLog& aLog,
+                                 const CoordinatorNode* aCoordinator,
+                                 const Gateway* aGateway)
+  : mLog(aLog)
+  , mCoordinator(aCoordinator)
+  , mGateway(aGateway)
+{
+}
+
+std::vector<MetricFamily>
+DispatchMetrics::Collect() const
+{
+  std::vector<MetricFamily> families;
+  families.push_back(Counter("almondspoke_log_lines_dropped_total",
+                             "Log lines over the bound of their event",
+                             mLog.DroppedLines()));
+  families.push_back(Counter(
+    "almondspoke_log_bytes_total", "Bytes of log lines", mLog.AppendedBytes()));
+  if (mCoordinator != nullptr) {
+    CollectCoordinator(families);
+  }
+  if (mGateway != nullptr) {
+    CollectGateway(families);
+  }
+  return families;
+}
+
+void
+DispatchMetrics::CollectCoordinator(std::vector<MetricFamily>& aInto) const
+{
+  const Coordinator& decisions = mCoordinator->Decisions();
+  const CoreStatus group = mCoordinator->GroupStatus();
+  aInto.push_back(Gauge("almondspoke_dispatch_leads",
+                        "1 on the instance that leads",
+                        decisions.IsLeading() ? 1 : 0));
+  aInto.push_back(Gauge("almondspoke_dispatch_settled",
+                        "1 once the leader knows what earlier ones may have "
+                        "running",
+                        decisions.IsSettled() ? 1 : 0));
+  aInto.push_back(Gauge("almondspoke_dispatch_term",
+                        "Term of the group, and fence of its leader",
+                        static_cast<double>(group.mTerm)));
+  aInto.push_back(
+    Gauge("almondspoke_dispatch_voters",
+          "Voters of the group",
+          static_cast<double>(group.mConfiguration.mVoters.size())));
+  aInto.push_back(Gauge("almondspoke_dispatch_commit_index",
+                        "Last committed entry known here",
+                        static_cast<double>(group.mCommit)));
+  aInto.push_back(Gauge("almondspoke_dispatch_manifest_version",
+                        "Version of the manifest in force here",
+                        static_cast<double>(mCoordinator->ManifestVersion())));
+  aInto.push_back(Gauge("almondspoke_dispatch_workers_reporting",
+                        "Workers whose reports reach this instance",
+                        static_cast<double>(mCoordinator->KnownWorkers())));
+  const WorkerSessions& workers = decisions.Workers();
+  const auto usable =
+    std::count_if(workers.begin(), workers.end(), [](const auto& aEntry) {
+      return aEntry.second.IsUsable();
+    });
+  aInto.push_back(Gauge("almondspoke_dispatch_workers_usable",
+                        "Workers on which the leader may start runs",
+                        static_cast<double>(usable)));
+  aInto.push_back(Gauge("almondspoke_dispatch_jobs_open",
+                        "Jobs that have not ended",
+                        static_cast<double>(decisions.OpenJobs())));
+  aInto.push_back(Gauge("almondspoke_dispatch_runs",
+                        "Runs that are, or may be, on workers",
+                        static_cast<double>(decisions.AssignedRuns())));
+  AddCounters(kCoordinatorFigures, decisions.Counters(), aInto);
+  aInto.push_back(Histogram("almondspoke_dispatch_job_seconds",
+                            "Time from the arrival of a job to its end",
+                            decisions.Latencies().mJobs));
+  aInto.push_back(Histogram("almondspoke_dispatch_first_start_seconds",
+                            "Time from the arrival of a job to its first start",
+                            decisions.Latencies().mFirstStarts));
+  aInto.push_back(Histogram("almondspoke_dispatch_start_answer_seconds",
+                            "Time from an order to start to its answer",
+                            decisions.Latencies().mStartAnswers));
+}
+
+void
+DispatchMetrics::CollectGateway(std::vector<MetricFamily>& aInto) const
+{
+  aInto.push_back(Gauge("almondspoke_gateway_ready",
+                        "1 while a leader is known",
+                        mGateway->IsReady() ? 1 : 0));
+  aInto.push_back(Gauge("almondspoke_gateway_calls_open",
+                        "Calls that have not been answered",
+                        static_cast<double>(mGateway->OpenCalls())));
+  AddCounters(kGatewayFigures, mGateway->Counters(), aInto);
+  aInto.push_back(Histogram("almondspoke_gateway_call_seconds",
+                            "Time from a call to its answer",
+                            mGateway->Latencies()));
+}
+
+std::string
+DispatchMetrics::Text() const
+{
+  return prometheus::TextSerializer().Serialize(Collect());
+}
+
+}
--- /dev/null
+++ b/Source/Dispatch/DispatchMetrics.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <prometheus/collectable.h>
+
+#include "Dispatch/CoordinatorNode.h"
+#include "Dispatch/Gateway.h"
+
+namespace almondspoke::dispatch {
+
+/** \brief The metrics of an instance of a dispatch installation.
+ *
+ * Collected on the thread that the instance's parts run on. No label has
+ * unbounded values. */
+class DispatchMetrics : public prometheus::Collectable
+{
+public:
+  /** \param aCoordinator null on a gateway
+   * \param aGateway null on a coordinator; all outlive this object */
+  DispatchMetrics(const EventLog& aLog,
+                  const CoordinatorNode* aCoordinator,
+                  const Gateway* aGateway);
+
+  std::vector<prometheus::MetricFamily> Collect() const override;
+
+  /** All metrics in the Prometheus text format. */
+  std::string Text() const;
+
+private:
+  void CollectCoordinator(std::vector<prometheus::MetricFamily>& aInto) const;
+  void CollectGateway(std::vector<prometheus::MetricFamily>& aInto) const;
+
+  const EventLog& mLog;
+  const CoordinatorNode* const mCoordinator;
+  const Gateway* const mGateway;
+};
+
+}
--- a/Source/Dispatch/Gateway.cxx
+++ b/Source/Dispatch/Gateway.cxx
@@ -113,6 +113,8 @@
   const auto found = mCalls.find(aId);
   const OpenCall call = std::move(found->second);
   mCalls.erase(found);
+  mLatencies.Add(
+    duration_cast<milliseconds>(mClock.MonotonicNow() - call.mArrived));
   EventLine(mLog, "call-done")
     .With("path", call.mCall.mPath)
     .With("reply", NameOf(aReply.mKind))
--- a/Source/Dispatch/Gateway.h
+++ b/Source/Dispatch/Gateway.h
@@ -9,6 +9,7 @@
 
 #include "Base/Clock.h"
 #include "Base/EventLog.h"
+#include "Dispatch/LatencyHistogram.h"
 #include "Dispatch/LeaderFinder.h"
 #include "Dispatch/Services.h"
 #include "Transport/PeerRpc.h"
@@ -53,6 +54,7 @@
   /** Calls that have not been replied to. */
   std::size_t OpenCalls() const { return mCalls.size(); }
   const GatewayCounters& Counters() const { return mCounters; }
+  const LatencyHistogram& Latencies() const { return mLatencies; }
 
 private:
   struct OpenCall
@@ -83,6 +85,7 @@
   std::uint64_t mNextId = 1;
   std::minstd_rand mRandom;
   GatewayCounters mCounters;
+  LatencyHistogram mLatencies;
 };
 
 }
