--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -217,8 +217,8 @@
   // What is stored (CoordinatorRecords.cxx).
   RecordBatch& Pending(RecordSink::Done aDone);
   void FlushRecords();
-  void Send(std::shared_ptr<RecordBatch> aBatch,
-            std::shared_ptr<std::vector<RecordSink::Done>> aDone);
+  void Send(const std::shared_ptr<RecordBatch>& aBatch,
+            const std::shared_ptr<std::vector<RecordSink::Done>>& aDone);
   void Enlist(const WorkerReport& aReport);
   void RecordEnd(WorkerSession& aWorker,
                  DispatchJob& aJob,
--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -95,7 +95,6 @@
   , mExchange(
       aParts.mClock,
       aParts.mRpc,
-      aParts.mLog,
       mDirectory,
       mSelf,
       [this](const WorkerReport& aReport) { mCoordinator.OnReport(aReport); })
--- a/Source/Dispatch/CoordinatorRecords.cxx
+++ b/Source/Dispatch/CoordinatorRecords.cxx
@@ -64,8 +64,8 @@
 }
 
 void
-Coordinator::Send(std::shared_ptr<RecordBatch> aBatch,
-                  std::shared_ptr<std::vector<RecordSink::Done>> aDone)
+Coordinator::Send(const std::shared_ptr<RecordBatch>& aBatch,
+                  const std::shared_ptr<std::vector<RecordSink::Done>>& aDone)
 {
   mRecords.Store(
     *aBatch, [this, fence = mFence, aBatch, aDone](bool aTakenEffect) {
--- a/Source/Dispatch/DispatchState.cxx
+++ b/Source/Dispatch/DispatchState.cxx
@@ -63,8 +63,10 @@
 IsAllDone(const StoredJob& aJob)
 {
   for (const auto& step : aJob.mTasks) {
-    const bool done = std::all_of(
-      step.begin(), step.end(), [](const StoredTask& t) { return t.mDone; });
+    const bool done =
+      std::all_of(step.begin(), step.end(), [](const StoredTask& aTask) {
+        return aTask.mDone;
+      });
     if (!done) {
       return false;
     }
--- a/Source/Dispatch/ReportExchange.cxx
+++ b/Source/Dispatch/ReportExchange.cxx
@@ -26,13 +26,11 @@
 
 ReportExchange::ReportExchange(const Clock& aClock,
                                PeerRpc& aRpc,
-                               EventLog& aLog,
                                WorkerDirectory& aDirectory,
                                InstanceName aSelf,
                                Observer aObserver)
   : mClock(aClock)
   , mRpc(aRpc)
-  , mLog(aLog)
   , mDirectory(aDirectory)
   , mSelf(std::move(aSelf))
   , mObserver(std::move(aObserver))
--- a/Source/Dispatch/ReportExchange.h
+++ b/Source/Dispatch/ReportExchange.h
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "Base/Clock.h"
-#include "Base/EventLog.h"
 #include "Base/InstanceIdentity.h"
 #include "Base/Result.h"
 #include "Dispatch/WorkerDirectory.h"
@@ -29,7 +28,6 @@
   /** \param aObserver called with each report that is news here */
   ReportExchange(const Clock& aClock,
                  PeerRpc& aRpc,
-                 EventLog& aLog,
                  WorkerDirectory& aDirectory,
                  InstanceName aSelf,
                  Observer aObserver);
@@ -53,7 +51,6 @@
 
   const Clock& mClock;
   PeerRpc& mRpc;
-  EventLog& mLog;
   WorkerDirectory& mDirectory;
   const InstanceName mSelf;
   const Observer mObserver;
--- a/Source/Transport/AsioPeerTransport.cxx
+++ b/Source/Transport/AsioPeerTransport.cxx
@@ -86,7 +86,7 @@
   if (!address) {
     return nullptr;
   }
-  const auto opened = MakeLink({ aName, *address });
+  auto opened = MakeLink({ aName, *address });
   mLinks.emplace(aName, opened);
   opened->Start();
   return opened;
--- a/Tests/Dispatch/CoordinatorSeededTest.cxx
+++ b/Tests/Dispatch/CoordinatorSeededTest.cxx
@@ -161,6 +161,8 @@
 {
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     INFO("seed " << seed);
-    CHECK(RandomRun(seed).Play() == "");
+    const std::string broken = RandomRun(seed).Play();
+    INFO(broken);
+    CHECK(broken.empty());
   }
 }
--- a/Tests/Dispatch/SimulatedFleet.cxx
+++ b/Tests/Dispatch/SimulatedFleet.cxx
@@ -364,7 +364,7 @@
 }
 
 void
-SimulatedFleet::End(Worker& aWorker, TaskId aTask, RunEnd aEnd)
+SimulatedFleet::End(Worker& aWorker, const TaskId& aTask, RunEnd aEnd)
 {
   dispatch::ListedEnd end;
   end.mNumber = aWorker.mNextEnd++;
--- a/Tests/Dispatch/SimulatedFleet.h
+++ b/Tests/Dispatch/SimulatedFleet.h
@@ -131,7 +131,9 @@
   dispatch::OrderOutcome CarryOutStart(Worker& aWorker,
                                        const dispatch::StartOrder& aOrder);
   void Extend(Worker& aWorker, dispatch::WorkerTime aUntil);
-  void End(Worker& aWorker, dispatch::TaskId aTask, dispatch::RunEnd aEnd);
+  void End(Worker& aWorker,
+           const dispatch::TaskId& aTask,
+           dispatch::RunEnd aEnd);
   dispatch::HoldResult ListsOf(const Worker& aWorker) const;
   void LetRunsEnd(Worker& aWorker);
   void AnswerHolds(Worker& aWorker);
