--- a/Source/Base/EventLog.h
+++ b/Source/Base/EventLog.h
@@ -40,8 +40,9 @@
 /** \brief How much an EventLog takes up. */
 struct EventLogLimits
 {
-  /** Lines of one event in one second; more are counted, not written. */
-  std::uint32_t mLinesPerSecond = 400;
+  /** Lines of one event in one second; more are counted, not written. Three
+   * times the starts of a leader with 50 workers. */
+  std::uint32_t mLinesPerSecond = 1500;
   /** Bytes that wait for a reader; lines beyond are counted, not kept. */
   std::size_t mBufferBytes = 512UL * 1024UL;
 };
