Dispatch: Keeps the name of a run that is lost until it is used

Cause: LoseRun() read the name of a task after it had removed the ledger's entry that the name stood in. Its log line held other bytes, and the task was not found and never ran again. Change: the name is taken by value. Tests: the address sanitizer fails on 'cut off' and on the random mixes before it; long ids and the log line are checked without it.

--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -206,7 +206,8 @@
   void OnStopped(const WorkerBoot& aBoot,
                  const RunId& aRun,
                  const OrderResult& aResult);
-  void LoseRun(WorkerSession& aWorker, const TaskId& aTask, const char* aWhy);
+  /** By value: the name often is that of the entry which this removes. */
+  void LoseRun(WorkerSession& aWorker, TaskId aTask, const char* aWhy);
   void RetryStops(WorkerSession& aWorker);
   void StopStragglers(WorkerSession& aWorker, TimePoint aNow);
   bool IsStraggler(const DispatchJob& aJob,
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -281,7 +281,8 @@
 
 void
 Coordinator::LoseRun(WorkerSession& aWorker,
-                     const TaskId& aTask,
+                     // NOLINTNEXTLINE(performance-unnecessary-value-param)
+                     TaskId aTask,
                      const char* aWhy)
 {
   const LedgerRun* run = aWorker.Find(aTask);
--- a/Tests/Dispatch/CoordinatorSeededTest.cxx
+++ b/Tests/Dispatch/CoordinatorSeededTest.cxx
@@ -70,7 +70,8 @@
   void HandIn()
   {
     const bool stored = Chance(0.4);
-    const std::string id = "j" + std::to_string(mJobs.size());
+    // As long as the ids of callers, which strings keep on the heap.
+    const std::string id = "5c0e7a21d94b36f8-" + std::to_string(mJobs.size());
     JobCall call =
       mFixture.CallOf(Chance(0.5) ? "urgent" : "patient",
                       id,
--- a/Tests/Dispatch/CoordinatorTest.cxx
+++ b/Tests/Dispatch/CoordinatorTest.cxx
@@ -9,6 +9,9 @@
 
 namespace {
 
+/** As callers choose them; too long to be kept inside a string object. */
+const std::string kLongId = "5c0e7a21d94b36f85c0e7a21d94b36f8";
+
 /** A leader with workers on which something may be started. */
 void
 Settle(DispatchFixture& aFixture, int aWorkers, std::uint32_t aMilliCores)
@@ -276,7 +279,7 @@
 {
   DispatchFixture fixture;
   Settle(fixture, 2, 20'000);
-  JobCall job = fixture.CallOf("patient", "j1", 2, 10'000, true);
+  JobCall job = fixture.CallOf("patient", kLongId, 2, 10'000, true);
   job.mJob.mSteps.front().mEstimateMs = 600;
   fixture.Submit(job, milliseconds(600));
   fixture.Run(milliseconds(100));
@@ -291,6 +294,8 @@
   }
   fixture.Run(milliseconds(4000));
   CHECK(fixture.mFleet.Errors().empty());
+  CHECK(fixture.Log().find("event=run-lost job=" + kLongId + " step=0") !=
+        std::string::npos);
   JobCall query = job;
   query.mKind = JobCallKind::Query;
   const CallId state = fixture.Call(query);
