--- a/Tests/Consensus/VoterKeepingTest.cxx
+++ b/Tests/Consensus/VoterKeepingTest.cxx
@@ -118,8 +118,9 @@
   CHECK(std::find(applied.begin(), applied.end(), "kept") != applied.end());
 }
 
-TEST_CASE("Voters: all restart and one lost its disk, and the others lead after "
-          "the time to verify")
+TEST_CASE(
+  "Voters: all restart and one lost its disk, and the others lead after "
+  "the time to verify")
 {
   CoreGroup group({ "a", "b", "c" });
   StartKeeping(group, 3);
