Tests: Waits for the right state in two cases that failed once under load

Cause, by the log of the run beside other processes: the first connection was reset before its end listened, so that one reconnect was counted before the link went silent, and the case called on the silent connection (abort on the value of an error). In the group's case the replica had not heard of the leader yet when it was cut off; a heartbeat that was queued named it after the wait, and the proposal was forwarded: outcome unknown. Change: the first waits for more reconnects than before the silence, the second for the leader to be known before the cut.

--- a/Tests/Consensus/ConsensusGroupTest.cxx
+++ b/Tests/Consensus/ConsensusGroupTest.cxx
@@ -115,6 +115,8 @@
   const InstanceName leader = fixture.AwaitLeader();
   REQUIRE_FALSE(leader.empty());
   const InstanceName other = leader == "a" ? "b" : "a";
+  // Else a heartbeat that has come before the cut names the leader after it.
+  REQUIRE(Eventually([&] { return fixture.Group(other).Leader() == leader; }));
   fixture.mNetwork.Isolate(other);
   REQUIRE(Eventually([&] { return !fixture.Group(other).Leader(); }));
   CHECK(fixture.Propose(other, "x").error().Kind() == ErrorKind::NoQuorum);
--- a/Tests/Transport/PeerTransportTest.cxx
+++ b/Tests/Transport/PeerTransportTest.cxx
@@ -221,9 +221,11 @@
     }));
     CHECK(a.Call("b", "echo", "before", kGenerous).value() == "a:before");
 
+    // The first connection is reset if the link comes up before its end does.
+    const std::uint64_t before = a.mTransport.Traffic().mReconnects;
     ++conditions->mSilencedGeneration;
     CHECK(Eventually([&] {
-      return a.mTransport.Traffic().mReconnects >= 1 &&
+      return a.mTransport.Traffic().mReconnects > before &&
              a.mTransport.IsConnected("b");
     }));
     CHECK(a.Call("b", "echo", "after", kGenerous).value() == "a:after");
