Dispatch: Drops what nothing calls

Placement::CouldEverRun(), the parameter by which workers that are set aside could be used (always false), and three accessors. Behaviour is the same; test_dispatch, test_platform and test_transport pass.

--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -257,8 +257,7 @@
         break;
       }
       const TaskId task{ aJob.mSubmission.mId, 0, step, index };
-      WorkerSession* worker =
-        Placement::Choose(mWorkers, aJob, task, now, false);
+      WorkerSession* worker = Placement::Choose(mWorkers, aJob, task, now);
       if (worker == nullptr) {
         if (spec.mRequiredLabel.empty() && spec.mMaxPerWorker == 0) {
           aFull[aJob.mQueue.mPool] = spec.mNeeds;
--- a/Source/Dispatch/CoordinatorNode.h
+++ b/Source/Dispatch/CoordinatorNode.h
@@ -78,7 +78,6 @@
 
   const Coordinator& Decisions() const { return mCoordinator; }
   CoreStatus GroupStatus() const { return mGroup->Status(); }
-  bool HoldsLease() const { return mGroup->IsLeader(); }
   std::size_t KnownWorkers() const { return mDirectory.Size(); }
   /** Version of the manifest in force here; zero before the first. */
   std::uint64_t ManifestVersion() const;
--- a/Source/Dispatch/Placement.cxx
+++ b/Source/Dispatch/Placement.cxx
@@ -47,8 +47,7 @@
 Placement::IsAllowed(const WorkerSession& aWorker,
                      const DispatchJob& aJob,
                      const TaskId& aTask,
-                     Clock::Monotonic aNow,
-                     bool aSetAside)
+                     Clock::Monotonic aNow)
 {
   const StepSpec& step = aJob.Step(aTask);
   if (!aWorker.HasRoomFor(step.mNeeds) || !aWorker.IsUsable() ||
@@ -60,9 +59,6 @@
       RunsOfStep(aWorker, aTask) >= step.mMaxPerWorker) {
     return false;
   }
-  if (aSetAside) {
-    return true;
-  }
   if (aWorker.mHealth.IsSetAside(aNow)) {
     return false;
   }
@@ -92,13 +88,12 @@
 Placement::Choose(WorkerSessions& aWorkers,
                   const DispatchJob& aJob,
                   const TaskId& aTask,
-                  Clock::Monotonic aNow,
-                  bool aSetAside)
+                  Clock::Monotonic aNow)
 {
   WorkerSession* best = nullptr;
   Fit bestFit;
   for (auto& [id, worker] : aWorkers) {
-    if (!IsAllowed(worker, aJob, aTask, aNow, aSetAside)) {
+    if (!IsAllowed(worker, aJob, aTask, aNow)) {
       continue;
     }
     const Fit fit = FitOf(worker, aJob, aTask);
@@ -110,16 +105,4 @@
   return best;
 }
 
-bool
-Placement::CouldEverRun(const WorkerSessions& aWorkers,
-                        const PoolName& aPool,
-                        const StepSpec& aStep)
-{
-  return std::any_of(aWorkers.begin(), aWorkers.end(), [&](const auto& aEntry) {
-    const WorkerReport& report = aEntry.second.Report();
-    return report.mPool == aPool && aStep.mNeeds.FitsInto(report.mCapacity) &&
-           HasLabel(report, aStep.mRequiredLabel);
-  });
-}
-
 }
--- a/Source/Dispatch/Placement.h
+++ b/Source/Dispatch/Placement.h
@@ -19,17 +19,11 @@
 class Placement
 {
 public:
-  /** \param aSetAside whether workers that are put aside may be used */
+  /** The worker, or null if none has room or may be used. */
   static WorkerSession* Choose(WorkerSessions& aWorkers,
                                const DispatchJob& aJob,
                                const TaskId& aTask,
-                               Clock::Monotonic aNow,
-                               bool aSetAside);
-
-  /** Whether any worker of the pool could run the task if it were free. */
-  static bool CouldEverRun(const WorkerSessions& aWorkers,
-                           const PoolName& aPool,
-                           const StepSpec& aStep);
+                               Clock::Monotonic aNow);
 
 private:
   struct Fit
@@ -45,8 +39,7 @@
   static bool IsAllowed(const WorkerSession& aWorker,
                         const DispatchJob& aJob,
                         const TaskId& aTask,
-                        Clock::Monotonic aNow,
-                        bool aSetAside);
+                        Clock::Monotonic aNow);
   static Fit FitOf(const WorkerSession& aWorker,
                    const DispatchJob& aJob,
                    const TaskId& aTask);
--- a/Source/Dispatch/WorkerHealth.h
+++ b/Source/Dispatch/WorkerHealth.h
@@ -24,7 +24,6 @@
   bool IsSetAside(TimePoint aNow) const { return aNow < mAsideUntil; }
   /** True while at most one run may be tried here. */
   bool IsOnTrial() const { return mFailures >= kFailuresToSetAside; }
-  unsigned Failures() const { return mFailures; }
 
 private:
   static constexpr unsigned kFailuresToSetAside = 2;
--- a/Source/Transport/ClientConnection.h
+++ b/Source/Transport/ClientConnection.h
@@ -42,7 +42,6 @@
   const std::string& Address() const { return mAddress; }
   HttpClient::AttemptId Attempt() const { return mId; }
   bool IsOpen() const { return mOpen; }
-  bool IsFresh() const { return mAttempt.mFreshConnection; }
   /** Time at which the attempt, or the connecting, ends. */
   SteadyTime Deadline() const;
   SteadyTime IdleSince() const { return mIdleSince; }
