Dispatch: Reads the settings file when it changes, and times with a fraction

Cause: the platform may change the settings file without a signal, and its bounds may be fractions; a fraction would have kept an instance from starting, and the time from SIGTERM to SIGKILL was assumed to be 6 s.

Tests: test_dispatch "Node settings*"; failed before for want of the key, of fractions and of FileWatch.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -20,10 +20,6 @@
 
 constexpr milliseconds kShortestEstimate{ 1 };
 
-/** Time for which a local lead leaves a call alone that an elected leader may
- * act on: longer than such a leader keeps a best-effort job. */
-constexpr std::chrono::seconds kBarredFor{ 20 };
-
 /** Interval at which the progress of runs is judged. */
 constexpr milliseconds kJudgementInterval{ 30 };
 
@@ -180,40 +176,6 @@
   FlushRecords();
 }
 
-bool
-Coordinator::LeavesToElected(CallId aCall, const JobCall& aCallOf)
-{
-  const QueueMatch match = FindQueue(*mManifest, aCallOf.mHost, aCallOf.mPath);
-  const JobId id(match.mRest);
-  if (FindJob(id) != nullptr) {
-    return false;
-  }
-  if (mBarred.count(CallKeyOf(aCallOf)) != 0 || HasOrphansOf(id)) {
-    Reply(aCall,
-          JobReplyKind::Unknown,
-          "an elected leader that cannot be reached may run the job");
-    return true;
-  }
-  const bool served = aCallOf.mKind == JobCallKind::Submit &&
-                      aCallOf.mJob.mBestEffort && match.mQueue != nullptr &&
-                      aCallOf.mManifest <= mManifest->mVersion;
-  if (!served) {
-    Reply(aCall,
-          JobReplyKind::Unavailable,
-          "only an elected leader serves this, and none can be reached");
-  }
-  return !served;
-}
-
-void
-Coordinator::BarCalls(const std::vector<std::string>& aKeys)
-{
-  const TimePoint until = mClock.MonotonicNow() + kBarredFor;
-  for (const std::string& key : aKeys) {
-    mBarred[key] = until;
-  }
-}
-
 void
 Coordinator::Submit(CallId aCall,
                     const JobCall& aCallOf,
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -197,10 +197,6 @@
   void Query(CallId aCall, const JobCall& aCallOf, const QueueMatch& aMatch);
   void Cancel(CallId aCall, const JobCall& aCallOf, const QueueMatch& aMatch);
   void Count(CallId aCall, const QueueMatch& aMatch);
-  /** Whether a local lead leaves a call to an elected leader; it is answered
-   * then. */
-  bool LeavesToElected(CallId aCall, const JobCall& aCallOf);
-  bool HasOrphansOf(const JobId& aJob) const;
   void Attach(DispatchJob& aJob, CallId aCall);
   JobPtr MakeJob(const JobSubmission& aSubmission, const Queue& aQueue) const;
   void Accept(JobPtr aJob, CallId aCall);
@@ -213,6 +209,12 @@
   void Refuse(DispatchJob& aJob, const char* aReason);
   double Spread();
 
+  // Leading one data centre alone (CoordinatorLocal.cxx).
+  /** Whether a local lead leaves a call to an elected leader; it is answered
+   * then. */
+  bool LeavesToElected(CallId aCall, const JobCall& aCallOf);
+  bool HasOrphansOf(const JobId& aJob) const;
+
   // Jobs and tasks (CoordinatorJobs.cxx).
   DispatchJob* FindJob(const JobId& aId);
   void MakeReady(DispatchJob& aJob, std::uint32_t aStep);
--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -175,23 +175,6 @@
   }
 }
 
-bool
-Coordinator::HasOrphansOf(const JobId& aJob) const
-{
-  const TaskId first{ aJob, 0, 0, 0 };
-  return std::any_of(
-    mUnclaimed.begin(), mUnclaimed.end(), [&](const WorkerId& aWorker) {
-      const auto worker = mWorkers.find(aWorker);
-      if (worker == mWorkers.end()) {
-        return false;
-      }
-      const auto& runs = worker->second.Runs();
-      const auto run = runs.lower_bound(first);
-      return run != runs.end() && run->first.mJob == aJob &&
-             run->second.mOrphan;
-    });
-}
-
 void
 Coordinator::ClaimOrphans(DispatchJob& aJob)
 {
--- a/Source/Dispatch/NodeSettings.cxx
+++ b/Source/Dispatch/NodeSettings.cxx
@@ -11,8 +11,9 @@
 
 constexpr std::string_view kSection = "node";
 constexpr std::uint32_t kMaxPort = 65535;
-constexpr std::uint32_t kMaxLosses = 4;
+constexpr std::uint32_t kMaxLosses = 8;
 constexpr std::uint32_t kMaxMilliseconds = 600'000;
+constexpr std::uint32_t kMillisecondsOfSecond = 1000;
 
 std::vector<std::string>
 SplitList(std::string_view aText)
@@ -48,7 +49,7 @@
       std::string_view mKey;
       Set mSet;
     };
-    static constexpr std::array<Row, 16> kRows = { {
+    static constexpr std::array<Row, 17> kRows = { {
       { "role", &Reader::SetRole },
       { "name", &Reader::SetText<&NodeSettings::mName> },
       { "data-centre", &Reader::SetText<&NodeSettings::mDataCentre> },
@@ -65,6 +66,7 @@
       { "max-hold-ms", &Reader::SetTime<&NodeSettings::mMaxHold> },
       { "worker-report-ms", &Reader::SetTime<&NodeSettings::mWorkerReport> },
       { "grace-ms", &Reader::SetTime<&NodeSettings::mGrace> },
+      { "grace-s", &Reader::SetSeconds<&NodeSettings::mGrace> },
     } };
     const auto row =
       std::find_if(kRows.begin(), kRows.end(), [&](const Row& aRow) {
@@ -156,11 +158,38 @@
     return Success();
   }
 
+  /** A time in the given unit, which may have a fraction.
+   * \param aUnit milliseconds of the unit */
+  Result<std::chrono::milliseconds> Time(const IniEntry& aEntry,
+                                         std::uint32_t aUnit) const
+  {
+    double number = 0;
+    const char* end = aEntry.mValue.data() + aEntry.mValue.size();
+    const auto parsed = std::from_chars(
+      aEntry.mValue.data(), end, number, std::chars_format::fixed);
+    const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
+    const double time = number * aUnit;
+    if (!whole || !(time >= 1 && time <= kMaxMilliseconds)) {
+      return Invalid(aEntry,
+                     "not a number in range",
+                     "1 to " + std::to_string(kMaxMilliseconds) + " ms");
+    }
+    return std::chrono::milliseconds(static_cast<std::int64_t>(time));
+  }
+
   template<std::chrono::milliseconds NodeSettings::*Field>
   Result<void> SetTime(const IniEntry& aEntry)
   {
-    BOOST_OUTCOME_TRY(number, Number(aEntry, 1, kMaxMilliseconds));
-    mSettings.*Field = std::chrono::milliseconds(number);
+    BOOST_OUTCOME_TRY(time, Time(aEntry, 1));
+    mSettings.*Field = time;
+    return Success();
+  }
+
+  template<std::chrono::milliseconds NodeSettings::*Field>
+  Result<void> SetSeconds(const IniEntry& aEntry)
+  {
+    BOOST_OUTCOME_TRY(time, Time(aEntry, kMillisecondsOfSecond));
+    mSettings.*Field = time;
     return Success();
   }
 
--- a/Tests/Dispatch/NodeSettingsTest.cxx
+++ b/Tests/Dispatch/NodeSettingsTest.cxx
@@ -1,5 +1,10 @@
+#include <filesystem>
+#include <fstream>
+
 #include <catch2/catch.hpp>
+#include <unistd.h>
 
+#include "Dispatch/FileWatch.h"
 #include "Dispatch/NodeSettings.h"
 #include "Dispatch/PeerNames.h"
 
@@ -44,6 +49,33 @@
         std::vector<InstanceName>{ "10.1.0.15:7720", "10.2.0.32:7720" });
 }
 
+TEST_CASE("Node settings: times may have a fraction")
+{
+  const auto settings = ParseNodeSettings(
+    "f.ini",
+    Without("max-hold-ms") + "grace-s = 6.5\n" + "max-hold-ms = 1000.0\n");
+  REQUIRE(settings);
+  CHECK(settings.value().mGrace.count() == 6500);
+  CHECK(settings.value().mMaxHold.count() == 1000);
+}
+
+TEST_CASE("Node settings: a changed file is noticed once, half a file is not")
+{
+  const std::filesystem::path path =
+    std::filesystem::temp_directory_path() /
+    ("almondspoke-node-" + std::to_string(getpid()) + ".ini");
+  std::ofstream(path) << kCoordinator;
+  FileWatch watch(path.string());
+  CHECK_FALSE(watch.HasChanged());
+  std::ofstream(path) << "";
+  CHECK_FALSE(watch.HasChanged());
+  std::ofstream(path) << kCoordinator << "seeds = 10.3.0.1:8166\n";
+  CHECK(watch.HasChanged());
+  CHECK_FALSE(watch.HasChanged());
+  std::filesystem::remove(path);
+  CHECK_FALSE(watch.HasChanged());
+}
+
 TEST_CASE("Node settings: what is wrong is named with what is allowed")
 {
   struct Row
@@ -55,8 +87,11 @@
                           Row{ "peer-port = 0", "1 to 65535" },
                           Row{ "peer-port = x", "1 to 65535" },
                           Row{ "may-found = yes", "true, false" },
-                          Row{ "tolerated-losses = 9", "0 to 4" },
+                          Row{ "tolerated-losses = 9", "0 to 8" },
                           Row{ "max-hold-ms = 0", "1 to 600000" },
+                          Row{ "max-hold-ms = 1e3", "1 to 600000" },
+                          Row{ "max-hold-ms = nan", "1 to 600000" },
+                          Row{ "grace-s = 601", "1 to 600000" },
                           Row{ "colour = red", "unknown key" } }) {
     INFO(row.mLine);
     const auto settings =
