Dispatch: Asks one instance of a data centre to lead it alone

Change: gateways ask the one that leads alone already, else the first by name of those that answer. Test: test_dispatch "Leader finder: one instance of the data centre is asked to lead alone", failed before. Ruled out: that the elected leader took the workers (no worker-fenced on it).

--- a/Source/Dispatch/LeaderFinder.cxx
+++ b/Source/Dispatch/LeaderFinder.cxx
@@ -66,6 +66,21 @@
   return mClock.MonotonicNow() - mLastKnown >= kWantsLocalAfter;
 }
 
+std::optional<InstanceName>
+LeaderFinder::LocalCandidate() const
+{
+  const TimePoint now = mClock.MonotonicNow();
+  if (mLocalLeader && now - mLocalHeard < kBelief) {
+    return mLocalLeader;
+  }
+  for (const auto& [instance, answered] : mNear) {
+    if (now - answered < kBelief) {
+      return instance;
+    }
+  }
+  return std::nullopt;
+}
+
 void
 LeaderFinder::SetUnresolved(std::vector<std::string> aKeys)
 {
@@ -117,7 +132,7 @@
   }
   LeaderQuestion question;
   question.mDataCentre = mDataCentre;
-  question.mWantsLocal = WantsLocalLeader();
+  question.mWantsLocal = WantsLocalLeader() && LocalCandidate() == aInstance;
   if (question.mWantsLocal) {
     question.mUnresolved = mUnresolved;
   }
@@ -185,8 +200,11 @@
 LeaderFinder::TakeLocalStatus(const InstanceName& aFrom,
                               const LeaderStatus& aStatus)
 {
-  const bool ours = aStatus.mLeadsLocally && aStatus.mDataCentre == mDataCentre;
-  if (!ours) {
+  if (aStatus.mDataCentre != mDataCentre) {
+    return;
+  }
+  mNear[aFrom] = mClock.MonotonicNow();
+  if (!aStatus.mLeadsLocally) {
     if (mLocalLeader == aFrom) {
       EventLine(mLog, "local-leader-lost").With("leader", aFrom);
       mLocalLeader.reset();
--- a/Source/Dispatch/LeaderFinder.h
+++ b/Source/Dispatch/LeaderFinder.h
@@ -58,6 +58,9 @@
 
 private:
   void Ask(const InstanceName& aInstance);
+  /** The one instance that should lead this data centre alone: the same for all
+   * gateways that reach the same instances. */
+  std::optional<InstanceName> LocalCandidate() const;
   void OnAnswer(const InstanceName& aFrom, const Result<std::string>& aAnswer);
   void TakeStatus(const InstanceName& aFrom, const LeaderStatus& aStatus);
   void TakeLocalStatus(const InstanceName& aFrom, const LeaderStatus& aStatus);
@@ -77,6 +80,8 @@
   bool mInDoubt = true;
   /** When a leader was known last; the start of this process before. */
   TimePoint mLastKnown;
+  /** Instances of this data centre that can lead, and when they answered. */
+  std::map<InstanceName, TimePoint> mNear;
   std::optional<InstanceName> mLocalLeader;
   TimePoint mLocalHeard{};
 };
--- a/Tests/Dispatch/GatewayTest.cxx
+++ b/Tests/Dispatch/GatewayTest.cxx
@@ -76,12 +76,18 @@
         question.mDone(Error(ErrorKind::PeerTimeout, "no answer"));
         continue;
       }
-      mQuestion = UnpackMessage<LeaderQuestion>(question.mRequest).value();
+      const LeaderQuestion asked =
+        UnpackMessage<LeaderQuestion>(question.mRequest).value();
+      if (asked.mWantsLocal) {
+        mAskedToLead.insert(question.mTo);
+        mQuestion = asked;
+      }
       LeaderStatus status;
       status.mLeads = question.mTo == mLeader;
       status.mTerm = mTerm;
       status.mLeadsLocally = question.mTo == mLocalLeader;
-      status.mDataCentre = mLocalDataCentre;
+      status.mDataCentre =
+        mNear.count(question.mTo) != 0 ? "here" : "elsewhere";
       question.mDone(PackMessage(status));
     }
   }
@@ -103,9 +109,10 @@
   Gateway mGateway;
   LeaderQuestion mQuestion;
   InstanceName mLeader = "a";
-  /** Instance that leads a data centre alone, and which. */
+  /** Instance that leads its data centre alone, and those that are here. */
   InstanceName mLocalLeader;
-  std::string mLocalDataCentre = "here";
+  std::set<InstanceName> mNear = { "b", "c" };
+  std::set<InstanceName> mAskedToLead;
   std::uint64_t mTerm = 2;
   std::set<InstanceName> mSilent;
   std::optional<JobReply> mReply;
@@ -236,13 +243,11 @@
   SECTION("that instance is here") {}
   SECTION("it leads another data centre")
   {
-    fixture.mLocalDataCentre = "elsewhere";
+    fixture.mNear = { "b" };
     served = false;
   }
   fixture.Run(milliseconds(600));
   CHECK(fixture.mGateway.IsReady() == served);
-  CHECK(fixture.mQuestion.mWantsLocal);
-  CHECK(fixture.mQuestion.mDataCentre == "here");
   fixture.Submit();
   REQUIRE(fixture.mRpc.Jobs().size() == (served ? 1 : 0));
   if (served) {
@@ -252,6 +257,35 @@
   }
 }
 
+TEST_CASE(
+  "Leader finder: one instance of the data centre is asked to lead alone")
+{
+  GatewayFixture fixture;
+  fixture.mLeader = "none";
+  std::set<InstanceName> expected;
+  SECTION("the first of those that answer")
+  {
+    expected = { "b" };
+  }
+  SECTION("not one that is silent")
+  {
+    fixture.mSilent = { "b" };
+    expected = { "c" };
+  }
+  SECTION("the one that leads already")
+  {
+    fixture.mLocalLeader = "c";
+    expected = { "c" };
+  }
+  SECTION("none elsewhere")
+  {
+    fixture.mNear.clear();
+  }
+  fixture.Run(milliseconds(1500));
+  CHECK(fixture.mAskedToLead == expected);
+  CHECK((expected.empty() || fixture.mQuestion.mDataCentre == "here"));
+}
+
 TEST_CASE("Gateway: a call that an elected leader may act on goes to nobody "
           "that leads alone")
 {
