--- a/Source/Dispatch/Gateway.cxx
+++ b/Source/Dispatch/Gateway.cxx
@@ -61,11 +61,8 @@
 std::optional<InstanceName>
 Gateway::TargetOf(const OpenCall& aCall) const
 {
-  const std::optional<InstanceName> leader = mFinder.Leader();
-  if (leader || aCall.mCall.mEarlierSends > 0) {
-    return leader;
-  }
-  return mFinder.LocalLeader();
+  const bool elected = mFinder.Leader() || aCall.mCall.mEarlierSends > 0;
+  return elected ? mFinder.Leader() : mFinder.LocalLeader();
 }
 
 void
