Dispatch: Looks at all workers once for a step, not once for a task

Change: the workers that a step's tasks may go to are collected once; each task chooses among them. The choice itself is the same, so the tests are.

--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -248,6 +248,7 @@
   const TimePoint now = mClock.MonotonicNow();
   for (std::uint32_t step = 0; step < aJob.mSteps.size(); ++step) {
     const StepSpec& spec = aJob.mSubmission.mSteps[step];
+    std::optional<std::vector<WorkerSession*>> candidates;
     for (std::uint32_t index = 0; index < aJob.mSteps[step].size(); ++index) {
       if (aJob.mSteps[step][index].mPhase != TaskPhase::Ready) {
         continue;
@@ -258,7 +259,10 @@
         break;
       }
       const TaskId task{ aJob.mSubmission.mId, 0, step, index };
-      WorkerSession* worker = Placement::Choose(mWorkers, aJob, task, now);
+      if (!candidates) {
+        candidates = Placement::Candidates(mWorkers, aJob, task, now);
+      }
+      WorkerSession* worker = Placement::Choose(*candidates, aJob, task, now);
       if (worker == nullptr) {
         if (spec.mRequiredLabel.empty() && spec.mMaxPerWorker == 0) {
           aFull[aJob.mQueue.mPool] = spec.mNeeds;
--- a/Source/Dispatch/Placement.cxx
+++ b/Source/Dispatch/Placement.cxx
@@ -84,21 +84,36 @@
   return fit;
 }
 
+std::vector<WorkerSession*>
+Placement::Candidates(WorkerSessions& aWorkers,
+                      const DispatchJob& aJob,
+                      const TaskId& aTask,
+                      Clock::Monotonic aNow)
+{
+  std::vector<WorkerSession*> candidates;
+  for (auto& [id, worker] : aWorkers) {
+    if (IsAllowed(worker, aJob, aTask, aNow)) {
+      candidates.push_back(&worker);
+    }
+  }
+  return candidates;
+}
+
 WorkerSession*
-Placement::Choose(WorkerSessions& aWorkers,
+Placement::Choose(const std::vector<WorkerSession*>& aCandidates,
                   const DispatchJob& aJob,
                   const TaskId& aTask,
                   Clock::Monotonic aNow)
 {
   WorkerSession* best = nullptr;
   Fit bestFit;
-  for (auto& [id, worker] : aWorkers) {
-    if (!IsAllowed(worker, aJob, aTask, aNow)) {
+  for (WorkerSession* worker : aCandidates) {
+    if (!IsAllowed(*worker, aJob, aTask, aNow)) {
       continue;
     }
-    const Fit fit = FitOf(worker, aJob, aTask);
+    const Fit fit = FitOf(*worker, aJob, aTask);
     if (best == nullptr || fit < bestFit) {
-      best = &worker;
+      best = worker;
       bestFit = fit;
     }
   }
--- a/Source/Dispatch/Placement.h
+++ b/Source/Dispatch/Placement.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "Dispatch/DispatchJob.h"
 #include "Dispatch/WorkerSession.h"
@@ -19,8 +20,16 @@
 class Placement
 {
 public:
-  /** The worker, or null if none has room or may be used. */
-  static WorkerSession* Choose(WorkerSessions& aWorkers,
+  /** The workers that a task may go to; those of one step have the same. A
+   * leader looks at all workers once for a step, not once for a task. */
+  static std::vector<WorkerSession*> Candidates(WorkerSessions& aWorkers,
+                                                const DispatchJob& aJob,
+                                                const TaskId& aTask,
+                                                Clock::Monotonic aNow);
+
+  /** The worker, or null if none of the candidates has room or may be used any
+   * more. */
+  static WorkerSession* Choose(const std::vector<WorkerSession*>& aCandidates,
                                const DispatchJob& aJob,
                                const TaskId& aTask,
                                Clock::Monotonic aNow);
