Dispatch: Learns how long orders take to be answered

A lost start was noticed after 250 ms and a lost hold after 600 ms; until then ends are not seen and their room is not free.

Change: AnswerTimes gives the timeout of starts, stops and holds from the slowest answer of the last two to three seconds, 60 to 250 ms; a leader that is short of processor time sees slow answers and doubts nothing early.

Tests: test_dispatch "Answer times: a task whose start is lost runs elsewhere in time" failed with the fixed timeout (250 ms were over before the answer).

--- /dev/null
+++ b/Source/Dispatch/AnswerTimes.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+#include "Base/Clock.h"
+
+namespace almondspoke::dispatch {
+
+/** \brief How long an order may take to be answered, learned from the answers.
+ *
+ * Answers the load of orders that are lost, or carried out late, while the
+ * others are answered at once: what is in doubt is stopped and started
+ * elsewhere soon. Where answers are slow, as on a leader that is short of
+ * processor time, nothing is doubted early. */
+class AnswerTimes
+{
+public:
+  using TimePoint = Clock::Monotonic;
+  using Milliseconds = std::chrono::milliseconds;
+
+  /** \param aLongest time after which an order counts as unanswered in any case
+   */
+  explicit AnswerTimes(Milliseconds aLongest);
+
+  /** An order was answered, or was not within its timeout. */
+  void Observe(Milliseconds aTook, TimePoint aNow);
+
+  /** Time to wait for the answer to an order that is sent now. */
+  Milliseconds Timeout(TimePoint aNow) const;
+
+private:
+  /** Slowest answer of a part of the time. */
+  struct Bucket
+  {
+    std::int64_t mNumber = -1;
+    Milliseconds mSlowest{ 0 };
+  };
+
+  static std::int64_t NumberOf(TimePoint aAt);
+
+  const Milliseconds mLongest;
+  std::array<Bucket, 3> mBuckets;
+};
+
+}
--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -81,6 +81,7 @@
   , mRecords(aRecords)
   , mLog(aLog)
   , mRandom(aOptions.mSeed)
+  , mAnswerTimes(aOptions.mOrderTimeout)
 {
 }
 
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -17,6 +17,7 @@
 #include "Base/Clock.h"
 #include "Base/EventLog.h"
 #include "Dispatch/Admission.h"
+#include "Dispatch/AnswerTimes.h"
 #include "Dispatch/DispatchJob.h"
 #include "Dispatch/DispatchState.h"
 #include "Dispatch/LatencyHistogram.h"
@@ -60,7 +61,7 @@
   /** Time for the answer to a hold order beyond its wait: several round trips
    * and one retransmission. */
   std::chrono::milliseconds mHoldSlack{ 300 };
-  /** Time for the answer to a start or a stop. */
+  /** Longest time for the answer to a start or a stop. */
   std::chrono::milliseconds mOrderTimeout{ 250 };
   /** Time for which the end of a job is remembered, for callers that ask
    * again. */
@@ -301,6 +302,7 @@
   RecordSink& mRecords;
   EventLog& mLog;
   std::mt19937_64 mRandom;
+  AnswerTimes mAnswerTimes;
 
   bool mLeading = false;
   bool mSettled = false;
--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -185,7 +185,8 @@
   const std::uint64_t number = ++aWorker.mHoldsSent;
   ++mCounters.mHolds;
   mCalls.Hold(order,
-              order.mWait + mOptions.mHoldSlack,
+              order.mWait +
+                std::min(mOptions.mHoldSlack, mAnswerTimes.Timeout(now)),
               [this,
                fence = mFence,
                boot = order.mTarget.mBoot,
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -125,7 +125,7 @@
     .With("free_mcores", aWorker.Free().mMilliCores);
   mCalls.Start(
     order,
-    mOptions.mOrderTimeout,
+    mAnswerTimes.Timeout(mClock.MonotonicNow()),
     [this, fence = mFence, boot = order.mTarget.mBoot, started = order.mRun](
       const OrderResult& aResult) {
       if (mLeading && fence == mFence) {
@@ -155,8 +155,10 @@
     return;
   }
   run->mLastBlindHold = worker->mHoldsSent;
-  mLatencies.mStartAnswers.Add(
-    duration_cast<milliseconds>(mClock.MonotonicNow() - run->mSentAt));
+  const TimePoint now = mClock.MonotonicNow();
+  const auto took = duration_cast<milliseconds>(now - run->mSentAt);
+  mLatencies.mStartAnswers.Add(took);
+  mAnswerTimes.Observe(took, now);
   if (run->mPhase == RunPhase::Starting) {
     run->mPhase = RunPhase::Running;
   }
@@ -237,7 +239,7 @@
     .With("worker", order.mTarget.mBoot.mId);
   mCalls.Stop(
     order,
-    mOptions.mOrderTimeout,
+    mAnswerTimes.Timeout(mClock.MonotonicNow()),
     [this, fence = mFence, boot = order.mTarget.mBoot, stopped = order.mRun](
       const OrderResult& aResult) {
       if (mLeading && fence == mFence) {
