Dispatch: Does not take a way that has become slow for lost orders

Cause: found by reading AnswerTimes again: where answers become slower than the learned timeout at once, none is seen any more and every run is stopped for up to 3 s. Change: after eight unanswered orders in a row the longest timeout counts until an answer comes (at one half of the orders lost, eight in a row come once in 256 times). Test: test_dispatch "Answer times: a way that has become slow is not taken for losses". mPending becomes mPendingCounts, beside the records' Pending().

--- a/Source/Dispatch/AnswerTimes.cxx
+++ b/Source/Dispatch/AnswerTimes.cxx
@@ -18,6 +18,10 @@
 constexpr int kTimesSlowest = 3;
 constexpr milliseconds kMargin{ 30 };
 
+/** Unanswered orders in a row that do not come from lost ones: at one half of
+ * the orders lost, so many follow each other once in 256 times. */
+constexpr unsigned kSlowAfterUnanswered = 8;
+
 /** Shortest timeout: several round trips between data centres. */
 constexpr milliseconds kShortest{ 60 };
 
@@ -38,6 +42,7 @@
 void
 AnswerTimes::Observe(Milliseconds aTook, TimePoint aNow)
 {
+  mUnansweredInRow = 0;
   const std::int64_t number = NumberOf(aNow);
   Bucket& bucket = mBuckets[static_cast<std::size_t>(number) % mBuckets.size()];
   if (bucket.mNumber != number) {
@@ -59,7 +64,7 @@
       slowest = std::max(slowest.value_or(bucket.mSlowest), bucket.mSlowest);
     }
   }
-  if (!slowest) {
+  if (!slowest || mUnansweredInRow >= kSlowAfterUnanswered) {
     return mLongest;
   }
   const Milliseconds wanted = *slowest * kTimesSlowest + kMargin;
--- a/Source/Dispatch/AnswerTimes.h
+++ b/Source/Dispatch/AnswerTimes.h
@@ -24,8 +24,11 @@
    */
   explicit AnswerTimes(Milliseconds aLongest);
 
-  /** An order was answered, or was not within its timeout. */
+  /** An order was answered. */
   void Observe(Milliseconds aTook, TimePoint aNow);
+  /** An order was not answered in time. After many in a row the way is taken
+   * for slow, not the orders for lost. */
+  void ObserveUnanswered() { ++mUnansweredInRow; }
 
   /** Time to wait for the answer to an order that is sent now. */
   Milliseconds Timeout(TimePoint aNow) const;
@@ -42,6 +45,7 @@
 
   const Milliseconds mLongest;
   std::array<Bucket, 3> mBuckets;
+  unsigned mUnansweredInRow = 0;
 };
 
 }
--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -144,7 +144,7 @@
   mUnsent.clear();
   mUnclaimed.clear();
   mCores.clear();
-  mPending.clear();
+  mPendingCounts.clear();
   mNextCount = {};
 }
 
@@ -435,20 +435,20 @@
     mNextCount = now + kCountInterval;
     CountPending();
   }
-  const auto pending = mPending.find(aMatch.mQueue->mName);
+  const auto pending = mPendingCounts.find(aMatch.mQueue->mName);
   JobReply reply;
   reply.mKind = JobReplyKind::Count;
-  reply.mPending = pending == mPending.end() ? 0 : pending->second;
+  reply.mPending = pending == mPendingCounts.end() ? 0 : pending->second;
   mReplies.Reply(aCall, reply);
 }
 
 void
 Coordinator::CountPending()
 {
-  mPending.clear();
+  mPendingCounts.clear();
   for (const auto& [id, job] : mJobs) {
     if (!job->mStarted && !job->HasEnded()) {
-      ++mPending[job->mQueue.mName];
+      ++mPendingCounts[job->mQueue.mName];
     }
   }
 }
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -331,7 +331,7 @@
   /** Cores of the workers of each pool that can take work. */
   std::map<PoolName, double> mCores;
   /** Jobs of each queue that have not started, as counted last. */
-  std::map<QueueName, std::uint32_t> mPending;
+  std::map<QueueName, std::uint32_t> mPendingCounts;
   TimePoint mNextCount{};
   /** Workers with runs whose jobs are not known here. */
   std::set<WorkerId> mUnclaimed;
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -185,6 +185,7 @@
   }
   if (aOutcome == OrderOutcome::Unknown || aOutcome == OrderOutcome::Failed) {
     ++mCounters.mUnansweredOrders;
+    mAnswerTimes.ObserveUnanswered();
     if (run.mPhase == RunPhase::Starting) {
       run.mPhase = RunPhase::Doubtful;
     }
--- a/Tests/Dispatch/AnswerTimesTest.cxx
+++ b/Tests/Dispatch/AnswerTimesTest.cxx
@@ -52,6 +52,21 @@
   CHECK(times.Timeout(now + milliseconds(9000)) == kLongest);
 }
 
+TEST_CASE("Answer times: a way that has become slow is not taken for losses")
+{
+  AnswerTimes times(kLongest);
+  const Clock::Monotonic now{ std::chrono::hours(1) };
+  times.Observe(milliseconds(5), now);
+  for (int i = 0; i < 7; ++i) {
+    times.ObserveUnanswered();
+  }
+  CHECK(times.Timeout(now) == milliseconds(60));
+  times.ObserveUnanswered();
+  CHECK(times.Timeout(now) == kLongest);
+  times.Observe(milliseconds(5), now);
+  CHECK(times.Timeout(now) == milliseconds(60));
+}
+
 TEST_CASE("Answer times: a task whose start is lost runs elsewhere in time")
 {
   DispatchFixture fixture;
