Dispatch: Says in one place whom a gateway turns to

The choice between the elected leader and the instance that leads the data centre alone stood three times in the gateway, twice as a copy; the finder answers it. Behaviour is the same: test_dispatch passes unchanged, linter and formatter are clean on both files.

--- a/Source/Dispatch/Gateway.cxx
+++ b/Source/Dispatch/Gateway.cxx
@@ -61,8 +61,8 @@
 std::optional<InstanceName>
 Gateway::TargetOf(const OpenCall& aCall) const
 {
-  const bool elected = mFinder.Leader() || aCall.mCall.mEarlierSends > 0;
-  return elected ? mFinder.Leader() : mFinder.LocalLeader();
+  const bool electedOnly = aCall.mCall.mEarlierSends > 0;
+  return electedOnly ? mFinder.Leader() : mFinder.AnyLeader();
 }
 
 void
@@ -292,8 +292,7 @@
 void
 Gateway::OnCallerLeft(const CallerLeft& aLeft)
 {
-  const std::optional<InstanceName> leader =
-    mFinder.Leader() ? mFinder.Leader() : mFinder.LocalLeader();
+  const std::optional<InstanceName> leader = mFinder.AnyLeader();
   if (!leader) {
     return;
   }
@@ -309,7 +308,7 @@
 bool
 Gateway::IsReady() const
 {
-  return mFinder.Leader() || mFinder.LocalLeader();
+  return mFinder.AnyLeader().has_value();
 }
 
 }
--- a/Source/Dispatch/LeaderFinder.cxx
+++ b/Source/Dispatch/LeaderFinder.cxx
@@ -60,6 +60,13 @@
   return believed ? mLocalLeader : std::nullopt;
 }
 
+std::optional<InstanceName>
+LeaderFinder::AnyLeader() const
+{
+  const std::optional<InstanceName> leader = Leader();
+  return leader ? leader : LocalLeader();
+}
+
 bool
 LeaderFinder::WantsLocalLeader() const
 {
--- a/Source/Dispatch/LeaderFinder.h
+++ b/Source/Dispatch/LeaderFinder.h
@@ -40,6 +40,10 @@
    * leader. */
   std::optional<InstanceName> LocalLeader() const;
 
+  /** The leader or, without one, the instance that leads this data centre
+   * alone. */
+  std::optional<InstanceName> AnyLeader() const;
+
   /** True once no leader has been found for so long that this data centre
    * should be led alone. */
   bool WantsLocalLeader() const;
