Dispatch: Reads a worker again before it trusts a raised fence

A leader whose start was refused for the fence of another one raised its round and marked the worker as unread. The answer to a long poll that it had sent before then marked it as read, so that the next start went out under the raised fence to a worker whose new runs it had not seen. The same held after a start refused as late or for want of room.

Change: an answer proves that a worker follows the leader only if its order was sent after the doubt arose. The draws of the two random tests stand one by one.

--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -248,7 +248,10 @@
   worker.mUnansweredHolds = 0;
   worker.mNextHoldAt = {};
   worker.ObserveClock(aResult.mClock, mClock.MonotonicNow());
-  worker.mFenceAccepted = true;
+  // An answer to an order that was sent under an earlier fence says nothing
+  // about the runs that another leader has started since.
+  worker.mFenceAccepted =
+    worker.mFenceAccepted || aHold > worker.mDoubtedUpToHold;
   ProcessEnds(worker, aResult.mEnded);
   ProcessRunning(worker, aResult.mRunning);
   RemoveUnlistedRuns(worker, aHold, aResult.mRunning);
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -215,7 +215,7 @@
   if (mustReread) {
     // The assumed clock, run list or fence of the worker is wrong; read them
     // again.
-    aWorker.mFenceAccepted = false;
+    aWorker.RequireRead();
     aWorker.mNextHoldAt = {};
   }
   MarkRunLost(aWorker, aRun.mTask, "not started");
@@ -304,7 +304,7 @@
     .With("runs", std::uint64_t{ aWorker.Runs().size() });
   mFencedOut = mFencedOut || (mScope.IsLocal() && aWorker.mFenceAccepted);
   aWorker.mFenceRound = std::min(aWorker.mFenceRound + 1, kMaxRound);
-  aWorker.mFenceAccepted = false;
+  aWorker.RequireRead();
   aWorker.mNextHoldAt = mClock.MonotonicNow() + kFencedRetryDelay;
 }
 
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -110,6 +110,15 @@
            !mReport.mDraining && !mReport.mHasLeft;
   }
 
+  /** Records that another leader may control the worker, or that its clock or
+   * run list is not known: its lists must be read again under the current
+   * fence before it is used. */
+  void RequireRead()
+  {
+    mFenceAccepted = false;
+    mDoubtedUpToHold = mHoldsSent;
+  }
+
   /** Returns the highest end number that the worker may discard. */
   std::uint64_t LastAcknowledgeableEnd() const;
 
@@ -121,6 +130,9 @@
   /** True once the worker has answered under this leader's fence. Orders of
    * earlier leaders have no effect from then on. */
   bool mFenceAccepted = false;
+  /** Hold orders up to this number were sent before it came into doubt that the
+   * worker follows this leader. Their answers do not prove that it does. */
+  std::uint64_t mDoubtedUpToHold = 0;
   /** Incremented when another leader of the same term is found to control the
    * worker (see WorkerFence.h). */
   std::uint32_t mFenceRound = 0;
--- a/Tests/Dispatch/CoordinatorSeededTest.cxx
+++ b/Tests/Dispatch/CoordinatorSeededTest.cxx
@@ -74,11 +74,16 @@
     const bool stored = Chance(0.4);
     // Long enough for heap allocation, like the ids of real callers.
     const std::string id = "5c0e7a21d94b36f8-" + std::to_string(mJobs.size());
+    // Drawn one by one: the order in which arguments are evaluated differs
+    // between compilers and machines.
+    const std::string queue = Chance(0.5) ? "urgent" : "patient";
+    const int tasks = Between(1, 6);
+    const int cores = Between(4, 15);
     JobCall call =
-      mFixture.CallOf(Chance(0.5) ? "urgent" : "patient",
+      mFixture.CallOf(queue,
                       id,
-                      static_cast<std::uint32_t>(Between(1, 6)),
-                      static_cast<std::uint32_t>(Between(4, 15) * 1000),
+                      static_cast<std::uint32_t>(tasks),
+                      static_cast<std::uint32_t>(cores * 1000),
                       stored);
     call.mJob.mSteps.front().mEstimateMs = 80;
     mJobs.push_back(call);
--- a/Tests/Dispatch/LocalLeadershipTest.cxx
+++ b/Tests/Dispatch/LocalLeadershipTest.cxx
@@ -278,11 +278,16 @@
   {
     const std::string id = "5c0e7a21d94b36f8-" + std::to_string(mJobs);
     ++mJobs;
+    // Drawn one by one: the order in which arguments are evaluated differs
+    // between compilers and machines.
+    const std::string queue = Chance(0.5) ? "urgent" : "patient";
+    const int tasks = Between(1, 6);
+    const int cores = Between(4, 15);
     const JobCall call =
-      mFixture.CallOf(Chance(0.5) ? "urgent" : "patient",
+      mFixture.CallOf(queue,
                       id,
-                      static_cast<std::uint32_t>(Between(1, 6)),
-                      static_cast<std::uint32_t>(Between(4, 15) * 1000),
+                      static_cast<std::uint32_t>(tasks),
+                      static_cast<std::uint32_t>(cores * 1000),
                       false);
     const milliseconds duration(Between(20, 900));
     if (mFixture.mLocalLeader && Chance(0.5)) {
--- /dev/null
+++ b/Tests/Dispatch/ScriptedLeader.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Base/EventLog.h"
+#include "Dispatch/Coordinator.h"
+#include "Support/ManualClock.h"
+
+namespace almondspoke::testing {
+
+/** \brief Keeps the orders of a leader until the test answers them. */
+class OrderRecorder : public dispatch::WorkerCalls
+{
+public:
+  template<typename Order, typename Done>
+  struct Pending
+  {
+    Order mOrder;
+    Done mDone;
+  };
+  using PendingStart = Pending<dispatch::StartOrder, OrderDone>;
+  using PendingStop = Pending<dispatch::StopOrder, OrderDone>;
+  using PendingHold = Pending<dispatch::HoldOrder, HoldDone>;
+
+  void Start(const dispatch::StartOrder& aOrder,
+             std::chrono::milliseconds /*aTimeout*/,
+             OrderDone aDone) override
+  {
+    mStarts.push_back({ aOrder, std::move(aDone) });
+  }
+  void Stop(const dispatch::StopOrder& aOrder,
+            std::chrono::milliseconds /*aTimeout*/,
+            OrderDone aDone) override
+  {
+    mStops.push_back({ aOrder, std::move(aDone) });
+  }
+  void Hold(const dispatch::HoldOrder& aOrder,
+            std::chrono::milliseconds /*aTimeout*/,
+            HoldDone aDone) override
+  {
+    mHolds.push_back({ aOrder, std::move(aDone) });
+  }
+
+  /** Removes the oldest order of a kind and returns it. */
+  template<typename Entry>
+  static Entry TakeFirst(std::deque<Entry>& aQueue)
+  {
+    Entry first = std::move(aQueue.front());
+    aQueue.pop_front();
+    return first;
+  }
+
+  std::deque<PendingStart> mStarts;
+  std::deque<PendingStop> mStops;
+  std::deque<PendingHold> mHolds;
+};
+
+/** \brief An elected leader whose workers are played by the test. Records are
+ * stored at once. */
+class ScriptedLeader
+  : public dispatch::ReplySink
+  , public dispatch::RecordSink
+{
+public:
+  using Milliseconds = std::chrono::milliseconds;
+
+  ScriptedLeader()
+    : mLog(mClock, mSink)
+    , mCoordinator({}, mClock, mOrders, *this, *this, mLog)
+  {
+    dispatch::Manifest manifest;
+    manifest.mVersion = 1;
+    manifest.mPools.push_back({ "pool", false, 64 });
+    manifest.mQueues.push_back(
+      { "urgent", "desk", "/urgent/", "pool", 0, 2, 1500, 1.6, 60 });
+    mCoordinator.SetManifest(
+      std::make_shared<const dispatch::Manifest>(manifest));
+  }
+
+  /** Begins to lead. The workers are registered and have free clocks. */
+  void Begin(const std::vector<dispatch::WorkerReport>& aWorkers)
+  {
+    dispatch::DispatchState state;
+    state.mFence = kFence;
+    for (const dispatch::WorkerReport& worker : aWorkers) {
+      state.mWorkers[worker.mBoot.mId] = worker;
+    }
+    mCoordinator.BeginLeading(kFence, state, aWorkers);
+  }
+
+  static dispatch::WorkerReport ReportOf(const std::string& aId,
+                                         std::uint32_t aMilliCores = 20'000)
+  {
+    dispatch::WorkerReport report;
+    report.mBoot = { aId, 1 };
+    report.mPool = "pool";
+    report.mAddress = "127.0.0.1:8080";
+    report.mCapacity = { aMilliCores, 64'000, 0 };
+    report.mSequence = 1;
+    report.mClockMs = 1000;
+    return report;
+  }
+
+  /** Submits a best-effort job with one step. */
+  void Submit(const std::string& aId,
+              std::uint32_t aTasks,
+              std::uint32_t aMilliCores)
+  {
+    dispatch::JobCall call;
+    call.mKind = dispatch::JobCallKind::Submit;
+    call.mHost = "desk";
+    call.mPath = "/urgent/" + aId;
+    call.mWaitMs = 1500;
+    call.mJob.mBestEffort = true;
+    dispatch::StepSpec step;
+    step.mCount = aTasks;
+    step.mNeeds = { aMilliCores, 64, 0 };
+    step.mEstimateMs = 50;
+    call.mJob.mSteps.push_back(step);
+    mCoordinator.Call(++mLastCall, call);
+  }
+
+  void AnswerStart(dispatch::OrderOutcome aOutcome)
+  {
+    const auto start = OrderRecorder::TakeFirst(mOrders.mStarts);
+    start.mDone({ aOutcome, 1000 + mElapsedMs });
+  }
+  /** Answers the oldest hold order with lists of runs. */
+  void AnswerHold(std::vector<dispatch::ActiveRun> aRunning = {},
+                  std::vector<dispatch::EndedRun> aEnded = {})
+  {
+    const auto hold = OrderRecorder::TakeFirst(mOrders.mHolds);
+    dispatch::HoldResult result;
+    result.mOutcome = dispatch::OrderOutcome::Done;
+    result.mClock = 1000 + mElapsedMs;
+    result.mRunning = std::move(aRunning);
+    result.mEnded = std::move(aEnded);
+    hold.mDone(result);
+  }
+
+  void Run(Milliseconds aTime)
+  {
+    constexpr int kTickMs = 10;
+    for (std::int64_t i = 0; i < aTime.count(); i += kTickMs) {
+      mClock.Advance(Milliseconds(kTickMs));
+      mElapsedMs += kTickMs;
+      mCoordinator.Tick();
+    }
+  }
+
+  void Reply(dispatch::CallId aCall, const dispatch::JobReply& aReply) override
+  {
+    mReplies[aCall] = aReply;
+  }
+  void Store(const dispatch::RecordBatch& /*aBatch*/,
+             dispatch::RecordSink::Done aDone) override
+  {
+    mStored.push_back(std::move(aDone));
+  }
+  /** Completes the batches that were handed in for storing. */
+  void CompleteStores()
+  {
+    std::vector<dispatch::RecordSink::Done> stored;
+    stored.swap(mStored);
+    for (const auto& done : stored) {
+      done(true);
+    }
+  }
+
+  static constexpr dispatch::Fence kFence = 2;
+
+  ManualClock mClock;
+  struct : LogSink
+  {
+    std::size_t Write(std::string_view aBytes) override
+    {
+      return aBytes.size();
+    }
+  } mSink;
+  EventLog mLog;
+  OrderRecorder mOrders;
+  dispatch::Coordinator mCoordinator;
+  std::map<dispatch::CallId, dispatch::JobReply> mReplies;
+  std::vector<dispatch::RecordSink::Done> mStored;
+  dispatch::CallId mLastCall = 0;
+  std::int64_t mElapsedMs = 0;
+};
+
+}
