Dispatch: Takes no odd report for a worker

Cause: of 93 odd reports (each field missing, of another type or out of its range, and odd ids) 68 were taken for workers, registered and stored: ports 0 and 99999, a start time missing or in the far future, no capacity. A leader waited for each of them when it took over. A running list with one unreadable entry counted as complete, so that a run in progress could be taken for gone.

A worker is registered only once it has answered an order; a new leader waits for registered workers only; at most 2,000 workers that never answered are kept. Ignored reports are counted by defect and logged.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -110,9 +110,7 @@
     }
   }
   for (const auto& [id, worker] : aState.mWorkers) {
-    if (!mScope.IsLocal() || worker.mDataCentre == mScope.mDataCentre) {
-      AddSession(worker).mRegistered = true;
-    }
+    LoadStoredWorker(worker);
   }
   for (const WorkerReport& report : aReports) {
     OnReport(report);
@@ -134,6 +132,9 @@
   }
   mLeading = false;
   mRecoveryComplete = false;
+  mMustAwaitLeases = false;
+  mProvenWorkers = 0;
+  mFirstUnread.clear();
   mFencedOut = false;
   mScope = {};
   mWorkers.clear();
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -273,7 +273,9 @@
   void FlushRecords();
   void SendBatch(const std::shared_ptr<RecordBatch>& aBatch,
                  const std::shared_ptr<std::vector<RecordSink::Done>>& aDone);
-  void RegisterWorker(const WorkerReport& aReport);
+  void LoadStoredWorker(const WorkerReport& aReport);
+  /** Stores the registration of a worker, unless that has been done. */
+  void RegisterWorker(WorkerSession& aWorker);
   void StoreEnd(WorkerSession& aWorker,
                 DispatchJob& aJob,
                 const EndedRun& aEnd);
@@ -285,6 +287,7 @@
   WorkerSession* SessionOf(const WorkerBoot& aBoot);
   WorkerSession& AddSession(const WorkerReport& aReport);
   void AddWorker(const WorkerReport& aReport);
+  std::size_t UnprovenWorkers() const;
   void RemoveSilentWorkers(TimePoint aNow);
   void EndSession(const WorkerId& aId, const char* aReason);
   /** Sends a hold order, which extends the lease and reads the run lists.
@@ -307,6 +310,9 @@
                           const std::vector<ActiveRun>& aRunning);
   void RemoveRunsIfLeaseExpired(WorkerSession& aWorker, TimePoint aNow);
   void StopUnclaimedOrphans(TimePoint aNow);
+  /** Returns whether the run lists of all registered workers, and of at least
+   * one worker, have been read. */
+  bool AreAllListsRead();
   void TryFinishRecovery(TimePoint aNow);
 
   const CoordinatorOptions mOptions;
@@ -320,6 +326,12 @@
 
   bool mLeading = false;
   bool mRecoveryComplete = false;
+  /** Number of workers that have answered an order of a leader. */
+  std::size_t mProvenWorkers = 0;
+  /** True if runs may exist on workers that this leader does not know. */
+  bool mMustAwaitLeases = false;
+  /** The workers before this one were read when they were last checked. */
+  WorkerId mFirstUnread;
   Fence mFence = 0;
   LeadershipScope mScope;
   bool mFencedOut = false;
--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -16,7 +16,14 @@
 /** Bounds of the exponential backoff between unanswered hold orders. */
 constexpr milliseconds kInitialRetryDelay{ 30 };
 constexpr milliseconds kMaxRetryDelay{ 500 };
-constexpr unsigned kMaxDoublings = 4;
+constexpr unsigned kMaxDoublings = 7;
+
+/** Longest time between hold orders to a worker that has never answered. */
+constexpr milliseconds kMaxUnprovenRetryDelay{ 4000 };
+
+/** Maximum number of workers that have reported and never answered an order.
+ * Bounds what reports with made-up ids cost. */
+constexpr std::size_t kMaxUnprovenWorkers = 2000;
 
 /** Number of consecutive unanswered hold orders after which the lease is no
  * longer extended, so that the runs of an unreachable worker end. */
@@ -95,6 +102,12 @@
   if (aReport.mHasLeft || mScope.IsLocal()) {
     return;
   }
+  if (UnprovenWorkers() >= kMaxUnprovenWorkers) {
+    EventLine(mLog, "worker-not-added")
+      .With("worker", aReport.mBoot.mId)
+      .With("reason", "too many workers have never answered");
+    return;
+  }
   const TimePoint now = mClock.MonotonicNow();
   WorkerSession& worker = AddSession(aReport);
   if (aReport.mClockMs > 0) {
@@ -107,7 +120,6 @@
     .With("pool", aReport.mPool)
     .With("mcores", aReport.mCapacity.mMilliCores)
     .With("draining", aReport.mDraining);
-  RegisterWorker(aReport);
   HoldIfDue(worker, now);
 }
 
@@ -143,7 +155,10 @@
   while (!worker.Runs().empty()) {
     MarkRunLost(worker, worker.Runs().begin()->first, aReason);
   }
-  PendingBatch([](bool) {}).mRemovedWorkers.push_back(worker.Report().mBoot);
+  if (worker.mIsRegistering) {
+    --mProvenWorkers;
+    PendingBatch([](bool) {}).mRemovedWorkers.push_back(worker.Report().mBoot);
+  }
   mWorkers.erase(aId);
 }
 
@@ -252,9 +267,12 @@
   // about the runs that another leader has started since.
   worker.mFenceAccepted =
     worker.mFenceAccepted || aHold > worker.mDoubtedUpToHold;
+  RegisterWorker(worker);
   ProcessEnds(worker, aResult.mEnded);
   ProcessRunning(worker, aResult.mRunning);
-  RemoveUnlistedRuns(worker, aHold, aResult.mRunning);
+  if (aResult.mIsRunningListComplete) {
+    RemoveUnlistedRuns(worker, aHold, aResult.mRunning);
+  }
   if (!mRecoveryComplete) {
     TryFinishRecovery(mClock.MonotonicNow());
   }
@@ -270,9 +288,11 @@
 {
   const unsigned doublings = std::min(aWorker.mUnansweredHolds, kMaxDoublings);
   ++aWorker.mUnansweredHolds;
+  const milliseconds maxDelay =
+    aWorker.mIsRegistering ? kMaxRetryDelay : kMaxUnprovenRetryDelay;
   aWorker.mNextHoldAt =
     mClock.MonotonicNow() +
-    std::min(kMaxRetryDelay, kInitialRetryDelay * (1U << doublings));
+    std::min(maxDelay, kInitialRetryDelay * (1U << doublings));
   if (aWorker.mUnansweredHolds == 1) {
     EventLine(mLog, "worker-unanswered")
       .With("worker", aWorker.Report().mBoot.mId)
@@ -498,6 +518,36 @@
   }
 }
 
+std::size_t
+Coordinator::UnprovenWorkers() const
+{
+  return mWorkers.size() - mProvenWorkers;
+}
+
+// Earlier leaders have used registered workers only, so that a worker which has
+// reported but never answered is not waited for. The check continues where the
+// previous one has stopped, and begins again before it succeeds, since a worker
+// that was read may have to be read again.
+bool
+Coordinator::AreAllListsRead()
+{
+  const auto isUnread = [](const auto& aEntry) {
+    return aEntry.second.mRegistered && !aEntry.second.mFenceAccepted;
+  };
+  auto unread =
+    std::find_if(mWorkers.lower_bound(mFirstUnread), mWorkers.end(), isUnread);
+  if (unread == mWorkers.end()) {
+    unread = std::find_if(mWorkers.begin(), mWorkers.end(), isUnread);
+  }
+  if (unread != mWorkers.end()) {
+    mFirstUnread = unread->first;
+    return false;
+  }
+  return std::any_of(mWorkers.begin(), mWorkers.end(), [](const auto& aEntry) {
+    return aEntry.second.mFenceAccepted;
+  });
+}
+
 void
 Coordinator::TryFinishRecovery(TimePoint aNow)
 {
@@ -510,12 +560,8 @@
   // no other leader has seen.
   const bool leasesExpired =
     aNow - mLeadingSince >= maxLease || mScope.IsLocal();
-  const bool allRead =
-    std::all_of(mWorkers.begin(), mWorkers.end(), [](const auto& aEntry) {
-      return aEntry.second.mFenceAccepted;
-    });
-  // With no workers known yet, wait for the first ones to report.
-  if (!leasesExpired && (!allRead || mWorkers.empty())) {
+  const bool allRead = !mMustAwaitLeases && AreAllListsRead();
+  if (!leasesExpired && !allRead) {
     return;
   }
   mRecoveryComplete = true;
--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -97,6 +97,7 @@
   , mReportExchange(
       aParts.mClock,
       aParts.mRpc,
+      aParts.mLog,
       mDirectory,
       mSelf,
       [this](const WorkerReport& aReport) { mCoordinator.OnReport(aReport); })
@@ -261,6 +262,13 @@
   mReportExchange.OnReport(aReport);
 }
 
+void
+CoordinatorNode::OnUnreadableReport(const WorkerId& aId,
+                                    const std::string& aReason)
+{
+  mReportExchange.OnUnreadableReport(aId, aReason);
+}
+
 void
 CoordinatorNode::OnWorkerLeft(const WorkerId& aId)
 {
--- a/Source/Dispatch/CoordinatorNode.h
+++ b/Source/Dispatch/CoordinatorNode.h
@@ -73,6 +73,8 @@
   void AddSeeds(const NodeSettings& aSettings);
 
   void Report(const WorkerReport& aReport) override;
+  void OnUnreadableReport(const WorkerId& aId,
+                          const std::string& aReason) override;
   void OnWorkerLeft(const WorkerId& aId) override;
   void PutManifest(const Manifest& aManifest,
                    ControlService::Done aDone) override;
@@ -84,6 +86,11 @@
   const Coordinator& GetCoordinator() const { return mCoordinator; }
   CoreStatus ConsensusStatus() const { return mGroup->Status(); }
   std::size_t KnownWorkerCount() const { return mDirectory.Size(); }
+  /** Numbers of reports that were ignored, by their defect. */
+  const ReportExchange::DefectCounts& IgnoredReports() const
+  {
+    return mReportExchange.Defects();
+  }
   /** Version of this instance's current manifest; zero if there is none yet. */
   std::uint64_t ManifestVersion() const;
 
--- a/Source/Dispatch/CoordinatorRecords.cxx
+++ b/Source/Dispatch/CoordinatorRecords.cxx
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "Dispatch/WorkerReportCheck.h"
+
 namespace almondspoke::dispatch {
 
 namespace {
@@ -95,15 +97,44 @@
   });
 }
 
+// A worker that an earlier version stored without checking its report is not
+// used. It may have runs, whose leases end before this leader starts any.
 void
-Coordinator::RegisterWorker(const WorkerReport& aReport)
+Coordinator::LoadStoredWorker(const WorkerReport& aReport)
 {
-  PendingBatch([this, boot = aReport.mBoot](bool) {
+  if (mScope.IsLocal() && aReport.mDataCentre != mScope.mDataCentre) {
+    return;
+  }
+  const ReportDefect defect = FindDefect(aReport, mClock.WallNow());
+  if (defect == ReportDefect::None) {
+    WorkerSession& worker = AddSession(aReport);
+    worker.mIsRegistering = true;
+    worker.mRegistered = true;
+    ++mProvenWorkers;
+    return;
+  }
+  EventLine(mLog, "stored-worker-ignored")
+    .With("worker", aReport.mBoot.mId)
+    .With("defect", NameOf(defect));
+  mMustAwaitLeases = true;
+  PendingBatch([](bool) {}).mRemovedWorkers.push_back(aReport.mBoot);
+}
+
+void
+Coordinator::RegisterWorker(WorkerSession& aWorker)
+{
+  if (aWorker.mIsRegistering) {
+    return;
+  }
+  aWorker.mIsRegistering = true;
+  ++mProvenWorkers;
+  const WorkerReport& report = aWorker.Report();
+  PendingBatch([this, boot = report.mBoot](bool) {
     if (WorkerSession* worker = SessionOf(boot)) {
       worker->mRegistered = true;
       Schedule();
     }
-  }).mRegistered.push_back(aReport);
+  }).mRegistered.push_back(report);
 }
 
 void
--- a/Source/Dispatch/DispatchMetrics.cxx
+++ b/Source/Dispatch/DispatchMetrics.cxx
@@ -136,6 +136,24 @@
   return family;
 }
 
+MetricFamily
+IgnoredReports(const ReportExchange::DefectCounts& aCounts)
+{
+  MetricFamily family =
+    FamilyOf("almondspoke_dispatch_reports_ignored_total",
+             "Reports that do not describe a usable worker, by defect",
+             MetricType::Counter);
+  family.metric.clear();
+  for (std::size_t i = 1; i < aCounts.size(); ++i) {
+    ClientMetric metric;
+    metric.label.push_back(
+      { "defect", std::string(NameOf(static_cast<ReportDefect>(i))) });
+    metric.counter.value = static_cast<double>(aCounts[i]);
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
 template<typename Counters, std::size_t Size>
 void
 AddCounters(const std::array<CounterRow<Counters>, Size>& aRows,
@@ -210,6 +228,7 @@
     Gauge("almondspoke_dispatch_workers_reporting",
           "Workers whose reports reach this instance",
           static_cast<double>(mCoordinator->KnownWorkerCount())));
+  aFamilies.push_back(IgnoredReports(mCoordinator->IgnoredReports()));
   const WorkerSessions& workers = coordinator.Workers();
   const auto usable =
     std::count_if(workers.begin(), workers.end(), [](const auto& aEntry) {
--- a/Source/Dispatch/ReportExchange.cxx
+++ b/Source/Dispatch/ReportExchange.cxx
@@ -26,11 +26,13 @@
 
 ReportExchange::ReportExchange(const Clock& aClock,
                                PeerRpc& aRpc,
+                               EventLog& aLog,
                                WorkerDirectory& aDirectory,
                                InstanceName aSelf,
                                Observer aObserver)
   : mClock(aClock)
   , mRpc(aRpc)
+  , mLog(aLog)
   , mDirectory(aDirectory)
   , mSelf(std::move(aSelf))
   , mObserver(std::move(aObserver))
@@ -50,7 +52,8 @@
 void
 ReportExchange::OnReport(const WorkerReport& aReport)
 {
-  if (!mDirectory.Update(aReport, mClock.MonotonicNow())) {
+  if (!IsUsable(aReport) ||
+      !mDirectory.Update(aReport, mClock.MonotonicNow())) {
     return;
   }
   mPendingReports.push_back(aReport);
@@ -67,6 +70,32 @@
   }
 }
 
+bool
+ReportExchange::IsUsable(const WorkerReport& aReport)
+{
+  const ReportDefect defect = FindDefect(aReport, mClock.WallNow());
+  if (defect == ReportDefect::None) {
+    return true;
+  }
+  ++mDefects[static_cast<std::size_t>(defect)];
+  EventLine(mLog, "report-ignored")
+    .With("worker", aReport.mBoot.mId)
+    .With("defect", NameOf(defect))
+    .With("address", aReport.mAddress)
+    .With("born", aReport.mBoot.mStartTimeMs);
+  return false;
+}
+
+void
+ReportExchange::OnUnreadableReport(const WorkerId& aId,
+                                   const std::string& aReason)
+{
+  ++mDefects[static_cast<std::size_t>(ReportDefect::Unreadable)];
+  EventLine(mLog, "report-unreadable")
+    .With("worker", aId)
+    .With("reason", aReason);
+}
+
 void
 ReportExchange::SetPeers(std::set<InstanceName> aPeers)
 {
@@ -101,7 +130,7 @@
 {
   const TimePoint now = mClock.MonotonicNow();
   for (const WorkerReport& report : aReports) {
-    if (mDirectory.Update(report, now)) {
+    if (IsUsable(report) && mDirectory.Update(report, now)) {
       mObserver(report);
     }
   }
--- a/Source/Dispatch/Services.h
+++ b/Source/Dispatch/Services.h
@@ -41,6 +41,10 @@
   virtual ~ControlService() = default;
 
   virtual void Report(const WorkerReport& aReport) = 0;
+  /** Called for a report that cannot be decoded.
+   * \param aReason names the field that is missing or invalid */
+  virtual void OnUnreadableReport(const WorkerId& aId,
+                                  const std::string& aReason) = 0;
   /** Called if a worker says that it ends now. */
   virtual void OnWorkerLeft(const WorkerId& aId) = 0;
 
--- a/Source/Dispatch/WorkerCalls.h
+++ b/Source/Dispatch/WorkerCalls.h
@@ -183,6 +183,9 @@
   std::uint64_t mStartTimeMs = 0;
   std::vector<ActiveRun> mRunning;
   std::vector<EndedRun> mEnded;
+  /** False if an entry of the list of running runs could not be read. Such a
+   * list does not show that any run is gone. */
+  bool mIsRunningListComplete = true;
 };
 
 /** \brief Sends orders to workers.
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -122,6 +122,8 @@
   /** Returns the highest end number that the worker may discard. */
   std::uint64_t LastAcknowledgeableEnd() const;
 
+  /** True once the registration is being stored. */
+  bool mIsRegistering = false;
   /** True once the registration is stored, so that every later leader knows
    * that the worker may have runs. */
   bool mRegistered = false;
--- a/Source/Transport/ClientConnection.cxx
+++ b/Source/Transport/ClientConnection.cxx
@@ -26,8 +26,12 @@
     return {};
   }
   std::uint16_t port = 0;
-  std::from_chars(
-    aAddress.data() + colon + 1, aAddress.data() + aAddress.size(), port);
+  const char* end = aAddress.data() + aAddress.size();
+  const auto parsed = std::from_chars(aAddress.data() + colon + 1, end, port);
+  if (parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
+    aError = asio::error::invalid_argument;
+    return {};
+  }
   return { asio::ip::make_address(aAddress.substr(0, colon), aError), port };
 }
 
--- a/Tests/Dispatch/ScriptedLeader.h
+++ b/Tests/Dispatch/ScriptedLeader.h
@@ -90,7 +90,7 @@
     for (const dispatch::WorkerReport& worker : aWorkers) {
       state.mWorkers[worker.mBoot.mId] = worker;
     }
-    mCoordinator.BeginLeading(kFence, state, aWorkers);
+    mCoordinator.BeginLeading(kFence, state, {});
   }
 
   static dispatch::WorkerReport ReportOf(const std::string& aId,
--- a/Tests/Dispatch/SimulatedFleet.cxx
+++ b/Tests/Dispatch/SimulatedFleet.cxx
@@ -44,7 +44,7 @@
   worker.mBootedAt = mClock.MonotonicNow();
   worker.mReport.mBoot = { aId, 1 };
   worker.mReport.mPool = "pool";
-  worker.mReport.mAddress = aId;
+  worker.mReport.mAddress = "127.0.0.1:8080";
   worker.mReport.mCapacity = { aMilliCores, 64'000, 0 };
   worker.mReport.mSequence = 1;
   return worker.mReport;
