Dispatch: Decides without walks over the fleet or the queue

Each step walked all sessions for candidates and each task all candidates; each submission and each refusal walked all waiting jobs; each tick of 10 ms walked all sessions.

Change: workers are listed by pool (and label, once asked for) in the order of their free cores; a worker that cannot take runs is set aside when a search meets it. The queue of ready jobs keeps sums of its work by priority and due time, and its jobs by the time they may wait. Workers, and jobs to forget, stand in the order of their next timeout. Cores in use are counted when a worker changes. Checks for stragglers follow each answer to a hold and every 100 ms.

--- a/Source/Dispatch/Admission.cxx
+++ b/Source/Dispatch/Admission.cxx
@@ -13,6 +13,10 @@
  * elsewhere. */
 constexpr int kMaxQueueTimeDivisor = 5;
 
+/** A best-effort job is given up after this multiple of the time to its
+ * objective. */
+constexpr int kGiveUpAfterObjectives = 3;
+
 /** Fraction of the cores that tasks can use; the rest is lost to fragmentation,
  * since tasks do not always fit into the remaining room of a worker. */
 constexpr double kUsableCoreFraction = 0.8;
@@ -30,6 +34,13 @@
          kMaxQueueTimeDivisor;
 }
 
+DispatchJob::TimePoint
+Admission::GiveUpTime(const DispatchJob& aJob)
+{
+  return aJob.mArrivedAt +
+         (aJob.mDueAt - aJob.mArrivedAt) * kGiveUpAfterObjectives;
+}
+
 std::optional<milliseconds>
 Admission::RetryDelayIfRefused(const DispatchJob& aJob,
                                const Backlog& aBacklog,
--- a/Source/Dispatch/Admission.h
+++ b/Source/Dispatch/Admission.h
@@ -32,6 +32,10 @@
   /** Returns the longest time that a job may wait for its first start. */
   static std::chrono::milliseconds MaxQueueTime(const DispatchJob& aJob);
 
+  /** Returns the time after which a job that waits is given up, since its
+   * result is of no use by then. */
+  static DispatchJob::TimePoint GiveUpTime(const DispatchJob& aJob);
+
   /** Returns nullopt if the job is accepted, otherwise the time after which the
    * caller should try again.
    * \param aJitter random number from 0 to 1 that spreads the retries of
--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -24,10 +24,6 @@
  * up to 2 s old, and callers ask for every queue at every gateway. */
 constexpr milliseconds kCountInterval{ 500 };
 
-/** Interval between checks for stragglers and due stop retries, and between
- * counts of the usable cores. */
-constexpr milliseconds kProgressCheckInterval{ 30 };
-
 const char*
 ValidationError(const JobSubmission& aJob)
 {
@@ -137,15 +133,18 @@
   mFirstUnread.clear();
   mFencedOut = false;
   mScope = {};
+  mIndex.Clear();
+  mTimers.Clear();
   mWorkers.clear();
+  mReady.Clear();
   mJobs.clear();
-  mReadyJobs.clear();
+  mJobExpiries.clear();
   mUnmatchedEnds.clear();
   mPendingBatch.reset();
   mPendingCallbacks.reset();
   mBatchesToResend.clear();
   mWorkersWithOrphans.clear();
-  mUsableCores.clear();
+  mUsableMilliCores.clear();
   mPendingCounts.clear();
   mNextCountAt = {};
 }
@@ -251,10 +250,8 @@
   aJob.mWaitingCalls.insert(aCall);
   if (aJob.mAbandoned) {
     aJob.mAbandoned = false;
-    if (aJob.mReadyTaskCount > 0) {
-      mReadyJobs.emplace(SchedulingKeyOf(aJob), aJob.mSubmission.mId);
-      Schedule();
-    }
+    mReady.Update(aJob);
+    Schedule();
   }
 }
 
@@ -337,30 +334,34 @@
 Backlog
 Coordinator::BacklogBefore(const DispatchJob& aJob) const
 {
-  Backlog backlog;
-  const SchedulingKey order = SchedulingKeyOf(aJob);
-  for (const auto& [position, id] : mReadyJobs) {
-    const double work = mJobs.at(id)->WaitingCoreMs();
-    backlog.mCoreMsWaiting += work;
-    backlog.mCoreMsAhead += position < order ? work : 0;
-  }
-  const auto cores = mUsableCores.find(aJob.mQueue.mPool);
-  backlog.mUsableCores = cores == mUsableCores.end() ? 0 : cores->second;
+  constexpr double kMilliCoresOfCore = 1000.0;
+  Backlog backlog = mReady.BacklogBefore(aJob);
+  const auto cores = mUsableMilliCores.find(aJob.mQueue.mPool);
+  if (cores != mUsableMilliCores.end()) {
+    backlog.mUsableCores =
+      static_cast<double>(cores->second) / kMilliCoresOfCore;
+  }
   return backlog;
 }
 
 void
-Coordinator::UpdateUsableCores()
+Coordinator::CountUsableCores(WorkerSession& aWorker, TimePoint aNow)
 {
-  const TimePoint now = mClock.MonotonicNow();
-  constexpr double kMilliCoresOfCore = 1000.0;
-  mUsableCores.clear();
-  for (const auto& [id, worker] : mWorkers) {
-    if (worker.IsUsable() && !worker.mHealth.IsQuarantined(now)) {
-      mUsableCores[worker.Report().mPool] +=
-        worker.Report().mCapacity.mMilliCores / kMilliCoresOfCore;
-    }
+  const bool usable =
+    aWorker.IsUsable() && !aWorker.mHealth.IsQuarantined(aNow);
+  CountUsableCores(aWorker,
+                   usable ? aWorker.Report().mCapacity.mMilliCores : 0);
+}
+
+void
+Coordinator::CountUsableCores(WorkerSession& aWorker, std::uint32_t aMilliCores)
+{
+  if (aWorker.mCountedMilliCores == aMilliCores) {
+    return;
   }
+  std::uint64_t& sum = mUsableMilliCores[aWorker.Report().mPool];
+  sum = sum - aWorker.mCountedMilliCores + aMilliCores;
+  aWorker.mCountedMilliCores = aMilliCores;
 }
 
 void
@@ -479,8 +480,7 @@
   if (!aLeft.mBeforeTimeout || job->mWaitingCalls.size() > 1) {
     return;
   }
-  job->mAbandoned = true;
-  mReadyJobs.erase({ SchedulingKeyOf(*job), job->mSubmission.mId });
+  AbandonWaitingTasks(*job);
 }
 
 void
@@ -530,7 +530,7 @@
               .count() })
     .With("retry_after_ms", reply.mRetryAfterMs);
   ReplyAll(aJob, reply);
-  mReadyJobs.erase({ SchedulingKeyOf(aJob), aJob.mSubmission.mId });
+  mReady.Remove(aJob);
   mJobs.erase(aJob.mSubmission.mId);
 }
 
@@ -547,21 +547,12 @@
     return;
   }
   const TimePoint now = mClock.MonotonicNow();
-  const bool isCheckDue = now >= mNextProgressCheckAt;
-  if (isCheckDue) {
-    mNextProgressCheckAt = now + kProgressCheckInterval;
-    UpdateUsableCores();
-  }
-  for (auto& [id, worker] : mWorkers) {
-    RemoveRunsIfLeaseExpired(worker, now);
-    if (isCheckDue) {
-      StopStragglers(worker, now);
-      RetryStops(worker);
-    }
-    HoldIfDue(worker, now);
+  for (WorkerSession* worker : mTimers.TakeDue(now)) {
+    Attend(*worker, now);
   }
   TryFinishRecovery(now);
   StopUnclaimedOrphans(now);
+  mIndex.ReadmitAll(now);
   Schedule();
   EnforceQueueTimeLimits(now);
   RemoveExpired(now);
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -21,9 +21,11 @@
 #include "Dispatch/DispatchState.h"
 #include "Dispatch/LatencyHistogram.h"
 #include "Dispatch/OrderTimeoutEstimator.h"
-#include "Dispatch/Placement.h"
+#include "Dispatch/ReadyQueue.h"
 #include "Dispatch/WorkerCalls.h"
+#include "Dispatch/WorkerIndex.h"
 #include "Dispatch/WorkerSession.h"
+#include "Dispatch/WorkerTimers.h"
 
 namespace almondspoke::dispatch {
 
@@ -212,7 +214,9 @@
   void OnAcceptStored(const JobId& aId);
   void CancelStored(DispatchJob& aJob, CallId aCall);
   Backlog BacklogBefore(const DispatchJob& aJob) const;
-  void UpdateUsableCores();
+  /** Counts the cores of a worker as usable or not, according to its state. */
+  void CountUsableCores(WorkerSession& aWorker, TimePoint aNow);
+  void CountUsableCores(WorkerSession& aWorker, std::uint32_t aMilliCores);
   void Reply(CallId aCall, JobReplyKind aKind, std::string aMessage = {});
   void ReplyAll(DispatchJob& aJob, const JobReply& aReply);
   void Refuse(DispatchJob& aJob, const char* aReason);
@@ -239,7 +243,10 @@
   void ScheduleJob(DispatchJob& aJob,
                    std::map<PoolName, Resources>& aUnplacedNeeds);
   void EnforceQueueTimeLimits(TimePoint aNow);
+  void ExpireAt(const DispatchJob& aJob, TimePoint aAt);
   void RemoveExpired(TimePoint aNow);
+  void RemoveExpiredJobs(TimePoint aNow);
+  std::chrono::milliseconds RetentionOf(const DispatchJob& aJob) const;
 
   // Start and stop orders (CoordinatorRuns.cxx).
   OrderTarget TargetOf(const WorkerSession& aWorker) const;
@@ -284,7 +291,15 @@
   void RecordRemoval(const DispatchJob& aJob);
 
   // Leases and run lists (CoordinatorHolds.cxx).
+  /** Returns the session of a boot, or null. The worker is looked at in the
+   * next tick, since its state is about to change. */
   WorkerSession* SessionOf(const WorkerBoot& aBoot);
+  /** Processes the timeouts of a worker. */
+  void Attend(WorkerSession& aWorker, TimePoint aNow);
+  /** Returns the time of the next timeout of a worker, if there is one. */
+  std::optional<TimePoint> NextTimeout(const WorkerSession& aWorker,
+                                       TimePoint aNow) const;
+  void UpdateReport(WorkerSession& aWorker, const WorkerReport& aReport);
   WorkerSession& AddSession(const WorkerReport& aReport);
   void AddWorker(const WorkerReport& aReport);
   std::size_t UnprovenWorkers() const;
@@ -294,6 +309,7 @@
    * \param aUrgent sends the order even if another one is in flight, and
    * without a wait time */
   void Hold(WorkerSession& aWorker, bool aUrgent);
+  static bool NeedsHold(const WorkerSession& aWorker, TimePoint aNow);
   void HoldIfDue(WorkerSession& aWorker, TimePoint aNow);
   void OnHoldAnswered(const WorkerBoot& aBoot,
                       std::uint64_t aHold,
@@ -341,9 +357,13 @@
   TimePoint mLeadingSince{};
   std::shared_ptr<const Manifest> mManifest;
   WorkerSessions mWorkers;
+  WorkerIndex mIndex;
+  WorkerTimers mTimers;
+  std::uint64_t mNextSessionNumber = 1;
   std::unordered_map<JobId, JobPtr> mJobs;
-  /** Jobs that have tasks waiting for a worker. */
-  std::set<std::pair<SchedulingKey, JobId>> mReadyJobs;
+  ReadyQueue mReady;
+  /** Jobs that may be removed, by the earliest time. */
+  std::set<std::pair<TimePoint, JobId>> mJobExpiries;
   std::map<TaskId, UnmatchedEnd> mUnmatchedEnds;
   std::shared_ptr<RecordBatch> mPendingBatch;
   std::shared_ptr<std::vector<RecordSink::Done>> mPendingCallbacks;
@@ -355,9 +375,8 @@
   TimePoint mNextResendAt{};
   std::uint64_t mNextArrivalNumber = 0;
   TimePoint mNextCleanupAt{};
-  TimePoint mNextProgressCheckAt{};
-  /** Cores of the usable workers by pool. */
-  std::map<PoolName, double> mUsableCores;
+  /** Thousandths of cores of the usable workers by pool. */
+  std::map<PoolName, std::uint64_t> mUsableMilliCores;
   /** Number of jobs by queue that have not started, as of the last count. */
   std::map<QueueName, std::uint32_t> mPendingCounts;
   TimePoint mNextCountAt{};
--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -36,6 +36,13 @@
 /** A lease of an earlier leader has expired after this percentage of the
  * maximum lease. The surplus accounts for slow clocks of workers. */
 constexpr int kLeaseExpiryPercent = 106;
+
+/** Interval between checks of the runs on a worker. */
+constexpr milliseconds kProgressCheckInterval{ 100 };
+
+/** Least time between two looks at a worker for the same reason. */
+constexpr milliseconds kTickInterval{ 10 };
+
 constexpr int kHundredPercent = 100;
 
 }
@@ -46,7 +53,49 @@
   const auto worker = mWorkers.find(aBoot.mId);
   const bool known =
     worker != mWorkers.end() && worker->second.Report().mBoot == aBoot;
-  return known ? &worker->second : nullptr;
+  if (!known) {
+    return nullptr;
+  }
+  mTimers.Arm(worker->second, mClock.MonotonicNow());
+  return &worker->second;
+}
+
+void
+Coordinator::Attend(WorkerSession& aWorker, TimePoint aNow)
+{
+  RemoveRunsIfLeaseExpired(aWorker, aNow);
+  StopStragglers(aWorker, aNow);
+  RetryStops(aWorker);
+  HoldIfDue(aWorker, aNow);
+  CountUsableCores(aWorker, aNow);
+  const std::optional<TimePoint> next = NextTimeout(aWorker, aNow);
+  if (next) {
+    mTimers.Arm(aWorker, *next);
+  }
+}
+
+std::optional<Coordinator::TimePoint>
+Coordinator::NextTimeout(const WorkerSession& aWorker, TimePoint aNow) const
+{
+  std::optional<TimePoint> next;
+  const auto include = [&](TimePoint aAt) {
+    next = std::min(next.value_or(aAt), aAt);
+  };
+  if (!aWorker.Runs().empty()) {
+    include(aNow + kProgressCheckInterval);
+    include(std::max(aWorker.LeaseBound(), aNow) + kTickInterval);
+  }
+  if (!aWorker.mHoldInFlight && NeedsHold(aWorker, aNow)) {
+    include(std::max(aWorker.mNextHoldAt, aNow));
+  }
+  if (aWorker.HasUnacknowledgedEnds()) {
+    include(
+      std::max(aWorker.mUnacknowledgedSince + kMaxAcknowledgeDelay, aNow));
+  }
+  if (aWorker.mHealth.IsQuarantined(aNow)) {
+    include(aWorker.mHealth.QuarantinedUntil());
+  }
+  return next;
 }
 
 void
@@ -78,11 +127,27 @@
       .With("left", aReport.mHasLeft)
       .With("runs", std::uint64_t{ worker.Runs().size() });
   }
-  worker.Update(aReport);
-  worker.mLastReport = mClock.MonotonicNow();
+  UpdateReport(worker, aReport);
+}
+
+void
+Coordinator::UpdateReport(WorkerSession& aWorker, const WorkerReport& aReport)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  const bool isMoved = WorkerIndex::AffectsOrder(aWorker.Report(), aReport);
+  if (isMoved) {
+    mIndex.Remove(aWorker);
+    CountUsableCores(aWorker, 0U);
+  }
+  aWorker.Update(aReport);
+  if (isMoved) {
+    mIndex.Add(aWorker);
+  }
+  aWorker.mLastReport = now;
   if (aReport.mClockMs > 0) {
-    worker.ObserveClock(aReport.mClockMs, mClock.MonotonicNow());
+    aWorker.ObserveClock(aReport.mClockMs, now);
   }
+  CountUsableCores(aWorker, now);
 }
 
 WorkerSession&
@@ -90,8 +155,12 @@
 {
   const TimePoint now = mClock.MonotonicNow();
   const auto added = mWorkers.emplace(
-    aReport.mBoot.mId, WorkerSession(aReport, now, mOptions.mMaxLease));
-  return added.first->second;
+    aReport.mBoot.mId,
+    WorkerSession(mNextSessionNumber++, aReport, now, mOptions.mMaxLease));
+  WorkerSession& worker = added.first->second;
+  mIndex.Add(worker);
+  mTimers.Arm(worker, now);
+  return worker;
 }
 
 void
@@ -159,19 +228,26 @@
     --mProvenWorkers;
     PendingBatch([](bool) {}).mRemovedWorkers.push_back(worker.Report().mBoot);
   }
+  CountUsableCores(worker, 0U);
+  mIndex.Remove(worker);
+  mTimers.Remove(worker);
   mWorkers.erase(aId);
 }
 
-void
-Coordinator::HoldIfDue(WorkerSession& aWorker, TimePoint aNow)
+bool
+Coordinator::NeedsHold(const WorkerSession& aWorker, TimePoint aNow)
 {
   const bool hasOverdueAcknowledgement =
-    aWorker.LastAcknowledgeableEnd() > aWorker.mLastAcknowledgedEnd &&
+    aWorker.HasUnacknowledgedEnds() &&
     aNow - aWorker.mUnacknowledgedSince >= kMaxAcknowledgeDelay;
-  const bool isNeeded = !aWorker.mFenceAccepted || !aWorker.Runs().empty() ||
-                        hasOverdueAcknowledgement ||
-                        aWorker.mUnansweredHolds > 0;
-  if (isNeeded && aNow >= aWorker.mNextHoldAt) {
+  return !aWorker.mFenceAccepted || !aWorker.Runs().empty() ||
+         hasOverdueAcknowledgement || aWorker.mUnansweredHolds > 0;
+}
+
+void
+Coordinator::HoldIfDue(WorkerSession& aWorker, TimePoint aNow)
+{
+  if (NeedsHold(aWorker, aNow) && aNow >= aWorker.mNextHoldAt) {
     Hold(aWorker, false);
   }
 }
@@ -273,8 +349,12 @@
   if (aResult.mIsRunningListComplete) {
     RemoveUnlistedRuns(worker, aHold, aResult.mRunning);
   }
+  const TimePoint now = mClock.MonotonicNow();
+  StopStragglers(worker, now);
+  CountUsableCores(worker, now);
+  mIndex.Readmit(worker);
   if (!mRecoveryComplete) {
-    TryFinishRecovery(mClock.MonotonicNow());
+    TryFinishRecovery(now);
   }
   if (!worker.Runs().empty()) {
     Hold(worker, false);
@@ -573,7 +653,6 @@
               .count() })
     .With("all_read", allRead)
     .With("workers", std::uint64_t{ mWorkers.size() });
-  UpdateUsableCores();
   Schedule();
 }
 
--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -10,15 +10,10 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-/** A best-effort job is abandoned after this multiple of the time to its
- * objective, since its result is of no use by then. */
-constexpr int kAbandonAfterObjectives = 3;
-
 /** Time for which ends of runs from earlier leaders are kept until their job is
  * submitted again. Longer than the retry interval of callers. */
 constexpr milliseconds kUnmatchedEndRetention{ 5000 };
 
-/** Each cleanup iterates over all jobs, most of which have ended. */
 constexpr milliseconds kCleanupInterval{ 1000 };
 
 /** Scheduling stops after this many consecutive jobs for which no worker was
@@ -49,9 +44,7 @@
       ++aJob.mReadyTaskCount;
     }
   }
-  if (aJob.mReadyTaskCount > 0 && !aJob.mAbandoned) {
-    mReadyJobs.emplace(SchedulingKeyOf(aJob), aJob.mSubmission.mId);
-  }
+  mReady.Update(aJob);
 }
 
 void
@@ -77,9 +70,7 @@
   }
   ReleaseTask(aJob, aTask, TaskPhase::Ready);
   ++aJob.mReadyTaskCount;
-  if (!aJob.HasEnded() && !aJob.mAbandoned) {
-    mReadyJobs.emplace(SchedulingKeyOf(aJob), aJob.mSubmission.mId);
-  }
+  mReady.Update(aJob);
 }
 
 void
@@ -91,6 +82,7 @@
   }
   ReleaseTask(aJob, task, TaskPhase::Done);
   aJob.mStarted = true;
+  mReady.Update(aJob);
   if (--aJob.mUnfinishedTasks[aTask.mStep] > 0 || aJob.HasEnded()) {
     return;
   }
@@ -136,7 +128,8 @@
   aJob.mState = aState;
   aJob.mEndedAt = now;
   mLatencies.mJobs.Add(duration_cast<milliseconds>(now - aJob.mArrivedAt));
-  mReadyJobs.erase({ SchedulingKeyOf(aJob), aJob.mSubmission.mId });
+  mReady.Remove(aJob);
+  ExpireAt(aJob, now + RetentionOf(aJob));
   mCounters.mCompleted += aState == JobState::Completed ? 1 : 0;
   mCounters.mFailed += aState == JobState::Failed ? 1 : 0;
   EventLine(mLog, "job-ended")
@@ -156,7 +149,8 @@
 Coordinator::AbandonWaitingTasks(DispatchJob& aJob)
 {
   aJob.mAbandoned = true;
-  mReadyJobs.erase({ SchedulingKeyOf(aJob), aJob.mSubmission.mId });
+  mReady.Remove(aJob);
+  ExpireAt(aJob, mClock.MonotonicNow());
 }
 
 void
@@ -211,6 +205,7 @@
         .With("worker", id);
     }
   }
+  mReady.Update(aJob);
   for (auto entry = mUnmatchedEnds.lower_bound(first);
        entry != mUnmatchedEnds.end() && entry->first.mJob == first.mJob &&
        !aJob.HasEnded();) {
@@ -226,14 +221,15 @@
 void
 Coordinator::Schedule()
 {
-  if (!mRecoveryComplete || mReadyJobs.empty()) {
+  if (!mRecoveryComplete || mReady.IsEmpty()) {
     return;
   }
   std::map<PoolName, Resources> unplacedNeeds;
   std::size_t unplacedJobs = 0;
-  for (auto entry = mReadyJobs.begin();
-       entry != mReadyJobs.end() && unplacedJobs < kMaxUnplacedJobsPerPass;) {
-    DispatchJob& job = *mJobs.at(entry->second);
+  const ReadyQueue::Jobs& jobs = mReady.InOrder();
+  for (auto entry = jobs.begin();
+       entry != jobs.end() && unplacedJobs < kMaxUnplacedJobsPerPass;) {
+    DispatchJob& job = *entry->second;
     // Advance first: scheduling a job may erase its own entry, but no other.
     ++entry;
     const std::size_t assignedBefore = job.mAssignedTaskCount;
@@ -250,7 +246,6 @@
   const TimePoint now = mClock.MonotonicNow();
   for (std::uint32_t step = 0; step < aJob.mSteps.size(); ++step) {
     const StepSpec& spec = aJob.mSubmission.mSteps[step];
-    std::optional<std::vector<WorkerSession*>> candidates;
     for (std::uint32_t index = 0; index < aJob.mSteps[step].size(); ++index) {
       if (aJob.mSteps[step][index].mPhase != TaskPhase::Ready) {
         continue;
@@ -262,10 +257,7 @@
         break;
       }
       const TaskId task{ aJob.mSubmission.mId, 0, step, index };
-      if (!candidates) {
-        candidates = Placement::Candidates(mWorkers, aJob, task, now);
-      }
-      WorkerSession* worker = Placement::Choose(*candidates, aJob, task, now);
+      WorkerSession* worker = mIndex.Choose(aJob, task, now);
       if (worker == nullptr) {
         if (spec.mRequiredLabel.empty() && spec.mMaxPerWorker == 0) {
           aUnplacedNeeds[aJob.mQueue.mPool] = spec.mNeeds;
@@ -275,9 +267,7 @@
       StartRun(aJob, task, *worker);
     }
   }
-  if (aJob.mReadyTaskCount == 0) {
-    mReadyJobs.erase({ SchedulingKeyOf(aJob), aJob.mSubmission.mId });
-  }
+  mReady.Update(aJob);
 }
 
 void
@@ -285,18 +275,8 @@
 {
   std::vector<DispatchJob*> refused;
   std::vector<DispatchJob*> abandoned;
-  for (const auto& [order, id] : mReadyJobs) {
-    DispatchJob& job = *mJobs.at(id);
-    if (job.mIsStored) {
-      continue;
-    }
-    const auto age = aNow - job.mArrivedAt;
-    const bool neverStarted = !job.mStarted && !job.mMayHaveRun;
-    if (neverStarted && age > Admission::MaxQueueTime(job)) {
-      refused.push_back(&job);
-    } else if (age > (job.mDueAt - job.mArrivedAt) * kAbandonAfterObjectives) {
-      abandoned.push_back(&job);
-    }
+  for (DispatchJob* job : mReady.TakeOverdue(aNow)) {
+    (job->MayBeRefused() ? refused : abandoned).push_back(job);
   }
   for (DispatchJob* job : refused) {
     Refuse(*job,
@@ -319,6 +299,46 @@
   }
 }
 
+milliseconds
+Coordinator::RetentionOf(const DispatchJob& aJob) const
+{
+  return aJob.mIsStored ? mOptions.mStoredResultRetention
+                        : mOptions.mBestEffortResultRetention;
+}
+
+void
+Coordinator::ExpireAt(const DispatchJob& aJob, TimePoint aAt)
+{
+  mJobExpiries.emplace(aAt, aJob.mSubmission.mId);
+}
+
+void
+Coordinator::RemoveExpiredJobs(TimePoint aNow)
+{
+  while (!mJobExpiries.empty() && mJobExpiries.begin()->first < aNow) {
+    const JobId id = mJobExpiries.begin()->second;
+    mJobExpiries.erase(mJobExpiries.begin());
+    DispatchJob* job = FindJob(id);
+    if (job == nullptr) {
+      continue;
+    }
+    const bool ended =
+      job->HasEnded() && aNow - job->mEndedAt > RetentionOf(*job);
+    const bool abandoned =
+      job->mAbandoned && !job->HasEnded() && !job->mIsStored;
+    if (!ended && !abandoned) {
+      continue;
+    }
+    if (job->mAssignedTaskCount > 0) {
+      ExpireAt(*job, aNow + kCleanupInterval);
+      continue;
+    }
+    RecordRemoval(*job);
+    mReady.Remove(*job);
+    mJobs.erase(id);
+  }
+}
+
 void
 Coordinator::RemoveExpired(TimePoint aNow)
 {
@@ -327,20 +347,7 @@
   }
   mNextCleanupAt = aNow + kCleanupInterval;
   RemoveSilentWorkers(aNow);
-  for (auto entry = mJobs.begin(); entry != mJobs.end();) {
-    const DispatchJob& job = *entry->second;
-    const milliseconds retention = job.mIsStored
-                                     ? mOptions.mStoredResultRetention
-                                     : mOptions.mBestEffortResultRetention;
-    const bool ended = job.HasEnded() && aNow - job.mEndedAt > retention;
-    const bool abandoned = job.mAbandoned && !job.HasEnded() && !job.mIsStored;
-    if (job.mAssignedTaskCount == 0 && (ended || abandoned)) {
-      RecordRemoval(job);
-      entry = mJobs.erase(entry);
-      continue;
-    }
-    ++entry;
-  }
+  RemoveExpiredJobs(aNow);
   for (auto entry = mExcludedCalls.begin(); entry != mExcludedCalls.end();) {
     entry =
       aNow > entry->second ? mExcludedCalls.erase(entry) : std::next(entry);
--- a/Source/Dispatch/CoordinatorRecords.cxx
+++ b/Source/Dispatch/CoordinatorRecords.cxx
@@ -132,6 +132,8 @@
   PendingBatch([this, boot = report.mBoot](bool) {
     if (WorkerSession* worker = SessionOf(boot)) {
       worker->mRegistered = true;
+      CountUsableCores(*worker, mClock.MonotonicNow());
+      mIndex.Readmit(*worker);
       Schedule();
     }
   }).mRegistered.push_back(report);
@@ -156,6 +158,7 @@
   }
   ReleaseTask(aJob, task, TaskPhase::Recording);
   aJob.mStarted = true;
+  mReady.Update(aJob);
   aWorker.mUnstoredEnds.insert(aEnd.mNumber);
   EndRecord record;
   record.mJob = id.mJob;
@@ -205,6 +208,7 @@
     const milliseconds since(
       std::max<std::int64_t>(0, WallMilliseconds(mClock) - aStored.mEndedMs));
     loaded.mEndedAt = now - since;
+    ExpireAt(loaded, loaded.mEndedAt + RetentionOf(loaded));
     return;
   }
   for (std::uint32_t step = 0; step < loaded.mSteps.size(); ++step) {
--- a/Source/Dispatch/DispatchJob.cxx
+++ b/Source/Dispatch/DispatchJob.cxx
@@ -2,18 +2,24 @@
 
 namespace almondspoke::dispatch {
 
-double
-DispatchJob::WaitingCoreMs() const
+namespace {
+
+std::uint64_t
+WorkOfTask(const StepSpec& aStep)
+{
+  return std::uint64_t{ aStep.mNeeds.mMilliCores } * aStep.mEstimateMs;
+}
+
+}
+
+std::uint64_t
+DispatchJob::WaitingWork() const
 {
   if (mSteps.size() == 1) {
-    const StepSpec& only = mSubmission.mSteps.front();
-    constexpr double kMilli = 1000.0;
-    return static_cast<double>(mReadyTaskCount) * only.mNeeds.mMilliCores *
-           only.mEstimateMs / kMilli;
+    return mReadyTaskCount * WorkOfTask(mSubmission.mSteps.front());
   }
-  double work = 0;
+  std::uint64_t work = 0;
   for (std::size_t step = 0; step < mSteps.size(); ++step) {
-    const StepSpec& spec = mSubmission.mSteps[step];
     std::size_t waiting = 0;
     for (const DispatchTask& task : mSteps[step]) {
       waiting +=
@@ -21,11 +27,9 @@
           ? 1
           : 0;
     }
-    work +=
-      static_cast<double>(waiting) * spec.mNeeds.mMilliCores * spec.mEstimateMs;
+    work += waiting * WorkOfTask(mSubmission.mSteps[step]);
   }
-  constexpr double kMilliCoresOfCore = 1000.0;
-  return work / kMilliCoresOfCore;
+  return work;
 }
 
 }
--- a/Source/Dispatch/DispatchJob.h
+++ b/Source/Dispatch/DispatchJob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -79,6 +80,10 @@
   std::size_t mAssignedTaskCount = 0;
   /** Duration of the longest successful run of each step, or zero. */
   std::vector<std::chrono::milliseconds> mLongestRunDurations;
+  /** Work that the ReadyQueue has counted for the job. */
+  std::uint64_t mCountedWork = 0;
+  /** Time up to which the job may wait in the ReadyQueue. */
+  std::optional<TimePoint> mWaitLimit;
 
   bool HasEnded() const
   {
@@ -95,8 +100,12 @@
   {
     return mSubmission.mSteps[aId.mStep];
   }
-  /** Returns the work that has not started, in core-milliseconds. */
-  double WaitingCoreMs() const;
+  /** Returns whether a refusal, which says that the job did not run, would be
+   * true. */
+  bool MayBeRefused() const { return !mStarted && !mMayHaveRun; }
+  /** Returns the work that has not started, in thousandths of a
+   * core-millisecond. */
+  std::uint64_t WaitingWork() const;
 };
 
 /** \brief Sort key of the scheduler: priority, then the due time of the job,
--- /dev/null
+++ b/Source/Dispatch/ReadyQueue.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "Dispatch/Admission.h"
+#include "Dispatch/DispatchJob.h"
+
+namespace almondspoke::dispatch {
+
+/** \brief Jobs that have tasks waiting for a worker, in the order in which they
+ * are scheduled, with the sums of their work.
+ *
+ * Keeps running sums of the waiting work, so that the work before a job is
+ * known without a walk over the queue, and orders the jobs by the time up to
+ * which they may wait. */
+class ReadyQueue
+{
+public:
+  using TimePoint = Clock::Monotonic;
+  using Jobs = std::map<SchedulingKey, DispatchJob*>;
+
+  /** Adds or removes a job according to its state, and counts its work anew.
+   * Must be called after each change of the state. */
+  void Update(DispatchJob& aJob);
+  /** Removes a job; must be called before the job is deleted. */
+  void Remove(DispatchJob& aJob);
+  void Clear();
+
+  bool IsEmpty() const { return mJobs.empty(); }
+  const Jobs& InOrder() const { return mJobs; }
+
+  /** Returns the work that waits, and the part of it that is scheduled before a
+   * job, in core-milliseconds. The usable cores are not set. */
+  Backlog BacklogBefore(const DispatchJob& aJob) const;
+
+  /** Returns the jobs that have waited for longer than they may, each once per
+   * limit: the time to refuse a job that has not started, and the time to give
+   * it up. */
+  std::vector<DispatchJob*> TakeOverdue(TimePoint aNow);
+
+private:
+  /** \brief Work of the jobs of one priority that are due within a range of
+   * times, by the start of the range. */
+  struct PriorityWork
+  {
+    std::uint64_t mTotal = 0;
+    std::map<TimePoint, std::uint64_t> mByDueTime;
+  };
+
+  void Count(DispatchJob& aJob, std::uint64_t aWork);
+  void ArmLimit(DispatchJob& aJob);
+  void DisarmLimit(DispatchJob& aJob);
+  std::uint64_t WorkBefore(const SchedulingKey& aKey) const;
+
+  Jobs mJobs;
+  std::map<std::uint32_t, PriorityWork> mWork;
+  std::uint64_t mTotalWork = 0;
+  /** By the end of the time that a job may wait, and its arrival number. */
+  std::map<std::pair<TimePoint, std::uint64_t>, DispatchJob*> mByLimit;
+};
+
+}
--- a/Source/Dispatch/WorkerHealth.h
+++ b/Source/Dispatch/WorkerHealth.h
@@ -23,6 +23,8 @@
   void RunFailed(TimePoint aNow);
 
   bool IsQuarantined(TimePoint aNow) const { return aNow < mQuarantinedUntil; }
+  /** End of the quarantine; in the past if there is none. */
+  TimePoint QuarantinedUntil() const { return mQuarantinedUntil; }
   /** True while the worker may have at most one run, as a trial. */
   bool IsOnProbation() const
   {
--- /dev/null
+++ b/Source/Dispatch/WorkerIndex.cxx
@@ -0,0 +1,256 @@
+#include "Dispatch/WorkerIndex.h"
+
+#include <algorithm>
+#include <array>
+
+namespace almondspoke::dispatch {
+
+namespace {
+
+bool
+HasLabel(const WorkerReport& aReport, const std::string& aLabel)
+{
+  return std::find(aReport.mLabels.begin(), aReport.mLabels.end(), aLabel) !=
+         aReport.mLabels.end();
+}
+
+std::size_t
+CountRunsOfStep(const WorkerSession& aWorker, const TaskId& aTask)
+{
+  const auto first = aWorker.Runs().lower_bound(
+    { aTask.mJob, aTask.mOccurrence, aTask.mStep, 0 });
+  std::size_t count = 0;
+  for (auto run = first; run != aWorker.Runs().end(); ++run) {
+    const bool same = run->first.mJob == aTask.mJob &&
+                      run->first.mOccurrence == aTask.mOccurrence &&
+                      run->first.mStep == aTask.mStep;
+    if (!same) {
+      break;
+    }
+    ++count;
+  }
+  return count;
+}
+
+bool
+IsAllowed(const WorkerSession& aWorker,
+          const DispatchJob& aJob,
+          const TaskId& aTask)
+{
+  const StepSpec& step = aJob.Step(aTask);
+  if (!aWorker.HasRoomFor(step.mNeeds)) {
+    return false;
+  }
+  if (!step.mRequiredLabel.empty() &&
+      !HasLabel(aWorker.Report(), step.mRequiredLabel)) {
+    return false;
+  }
+  return step.mMaxPerWorker == 0 ||
+         CountRunsOfStep(aWorker, aTask) < step.mMaxPerWorker;
+}
+
+bool
+IsAvoided(const WorkerSession& aWorker,
+          const DispatchJob& aJob,
+          const TaskId& aTask)
+{
+  const auto& failedOn = aJob.mSteps[aTask.mStep][aTask.mIndex].mFailedOn;
+  return std::find(failedOn.begin(),
+                   failedOn.end(),
+                   aWorker.Report().mBoot.mId) != failedOn.end();
+}
+
+}
+
+void
+WorkerIndex::Add(WorkerSession& aWorker)
+{
+  aWorker.SetRoomListener(this);
+  PoolListings& pool = mPools[aWorker.Report().mPool];
+  for (const std::string& label : aWorker.Report().mLabels) {
+    ++pool.mLabelCounts[label];
+  }
+  List(aWorker);
+}
+
+void
+WorkerIndex::Remove(WorkerSession& aWorker)
+{
+  aWorker.SetRoomListener(nullptr);
+  Unlist(aWorker);
+  mAside.erase(aWorker.mPosition.mNumber);
+  PoolListings& pool = mPools[aWorker.Report().mPool];
+  for (const std::string& label : aWorker.Report().mLabels) {
+    if (--pool.mLabelCounts[label] == 0) {
+      pool.mLabelCounts.erase(label);
+      pool.mByLabel.erase(label);
+    }
+  }
+}
+
+void
+WorkerIndex::Clear()
+{
+  mPools.clear();
+  mAside.clear();
+}
+
+void
+WorkerIndex::OnRoomChanged(WorkerSession& aWorker)
+{
+  Unlist(aWorker);
+  mAside.erase(aWorker.mPosition.mNumber);
+  List(aWorker);
+}
+
+void
+WorkerIndex::Readmit(WorkerSession& aWorker)
+{
+  if (mAside.erase(aWorker.mPosition.mNumber) != 0) {
+    List(aWorker);
+  }
+}
+
+void
+WorkerIndex::ReadmitAll(TimePoint aNow)
+{
+  for (auto entry = mAside.begin(); entry != mAside.end();) {
+    WorkerSession& worker = *entry->second;
+    if (!CanTakeRuns(worker, aNow)) {
+      ++entry;
+      continue;
+    }
+    entry = mAside.erase(entry);
+    List(worker);
+  }
+}
+
+bool
+WorkerIndex::AffectsOrder(const WorkerReport& aKnown, const WorkerReport& aNew)
+{
+  const bool isSameSize = aKnown.mCapacity.FitsInto(aNew.mCapacity) &&
+                          aNew.mCapacity.FitsInto(aKnown.mCapacity);
+  return !isSameSize || aKnown.mPool != aNew.mPool ||
+         aKnown.mLabels != aNew.mLabels ||
+         (aKnown.mWarmUpRemainingMs > 0) != (aNew.mWarmUpRemainingMs > 0);
+}
+
+bool
+WorkerIndex::CanTakeRuns(const WorkerSession& aWorker, TimePoint aNow)
+{
+  if (!aWorker.IsUsable() || aWorker.mOrphanCount > 0 ||
+      aWorker.mHealth.IsQuarantined(aNow)) {
+    return false;
+  }
+  return !aWorker.mHealth.IsOnProbation() || aWorker.Runs().empty();
+}
+
+void
+WorkerIndex::List(WorkerSession& aWorker)
+{
+  Position& position = aWorker.mPosition;
+  const WorkerReport& report = aWorker.Report();
+  position.mIsCold = report.mWarmUpRemainingMs > 0;
+  position.mFreeMilliCores = aWorker.Free().mMilliCores;
+  PoolListings& pool = mPools[report.mPool];
+  pool.mAll.emplace(position, &aWorker);
+  if (pool.mByLabel.empty()) {
+    return;
+  }
+  for (const std::string& label : report.mLabels) {
+    const auto listing = pool.mByLabel.find(label);
+    if (listing != pool.mByLabel.end()) {
+      listing->second.emplace(position, &aWorker);
+    }
+  }
+}
+
+void
+WorkerIndex::Unlist(WorkerSession& aWorker)
+{
+  PoolListings& pool = mPools[aWorker.Report().mPool];
+  pool.mAll.erase(aWorker.mPosition);
+  if (pool.mByLabel.empty()) {
+    return;
+  }
+  for (const std::string& label : aWorker.Report().mLabels) {
+    const auto listing = pool.mByLabel.find(label);
+    if (listing != pool.mByLabel.end()) {
+      listing->second.erase(aWorker.mPosition);
+    }
+  }
+}
+
+void
+WorkerIndex::SetAside(WorkerSession& aWorker)
+{
+  Unlist(aWorker);
+  mAside.emplace(aWorker.mPosition.mNumber, &aWorker);
+}
+
+WorkerIndex::Listing*
+WorkerIndex::WithLabel(PoolListings& aPool, const std::string& aLabel)
+{
+  if (aPool.mLabelCounts.count(aLabel) == 0) {
+    return nullptr;
+  }
+  const auto [entry, isNew] = aPool.mByLabel.try_emplace(aLabel);
+  if (isNew) {
+    for (const auto& [position, worker] : aPool.mAll) {
+      if (HasLabel(worker->Report(), aLabel)) {
+        entry->second.emplace(position, worker);
+      }
+    }
+  }
+  return &entry->second;
+}
+
+WorkerSession*
+WorkerIndex::FindIn(Listing& aListing, bool aIsCold, Search& aSearch)
+{
+  const StepSpec& step = aSearch.mJob.Step(aSearch.mTask);
+  auto entry = aListing.lower_bound({ aIsCold, step.mNeeds.mMilliCores, 0 });
+  while (entry != aListing.end() && entry->first.mIsCold == aIsCold) {
+    WorkerSession& worker = *entry->second;
+    ++entry;
+    if (!CanTakeRuns(worker, aSearch.mNow)) {
+      SetAside(worker);
+      continue;
+    }
+    if (!IsAllowed(worker, aSearch.mJob, aSearch.mTask)) {
+      continue;
+    }
+    if (!IsAvoided(worker, aSearch.mJob, aSearch.mTask)) {
+      return &worker;
+    }
+    aSearch.mAvoided = aSearch.mAvoided == nullptr ? &worker : aSearch.mAvoided;
+  }
+  return nullptr;
+}
+
+WorkerSession*
+WorkerIndex::Choose(const DispatchJob& aJob,
+                    const TaskId& aTask,
+                    TimePoint aNow)
+{
+  const StepSpec& step = aJob.Step(aTask);
+  PoolListings& pool = mPools[aJob.mQueue.mPool];
+  const std::array<Listing*, 2> listings = {
+    step.mDataRack.empty() ? nullptr : WithLabel(pool, step.mDataRack),
+    step.mRequiredLabel.empty() ? &pool.mAll
+                                : WithLabel(pool, step.mRequiredLabel),
+  };
+  Search search{ aJob, aTask, aNow };
+  for (Listing* listing : listings) {
+    for (const bool isCold : { false, true }) {
+      WorkerSession* worker =
+        listing == nullptr ? nullptr : FindIn(*listing, isCold, search);
+      if (worker != nullptr) {
+        return worker;
+      }
+    }
+  }
+  return search.mAvoided;
+}
+
+}
--- /dev/null
+++ b/Source/Dispatch/WorkerIndex.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+
+#include "Dispatch/DispatchJob.h"
+#include "Dispatch/WorkerSession.h"
+
+namespace almondspoke::dispatch {
+
+/** \brief Finds the worker for a task without a walk over all workers.
+ *
+ * Uses best fit: chooses the worker that will have the least CPU left, so that
+ * free workers remain available for tasks that need half a worker or more.
+ * Workers that are warming up come last, workers near the data of the task
+ * first, and a worker on which an earlier run of the task did not succeed is
+ * chosen only if there is no other.
+ *
+ * The workers of a pool are listed in the order of their free CPU. A worker
+ * that a search finds unable to take any run, for example since it drains, is
+ * set aside until its free resources change, Readmit() or ReadmitAll(). */
+class WorkerIndex : public RoomListener
+{
+public:
+  using TimePoint = Clock::Monotonic;
+
+  /** Lists a worker; it must be removed before its session ends, and before a
+   * change of what AffectsOrder() compares. */
+  void Add(WorkerSession& aWorker);
+  void Remove(WorkerSession& aWorker);
+  void Clear();
+
+  void OnRoomChanged(WorkerSession& aWorker) override;
+
+  /** Lists a worker again that was set aside. */
+  void Readmit(WorkerSession& aWorker);
+  /** Lists the workers again that can take runs. */
+  void ReadmitAll(TimePoint aNow);
+
+  /** Returns the best worker for a task of a job, or null. */
+  WorkerSession* Choose(const DispatchJob& aJob,
+                        const TaskId& aTask,
+                        TimePoint aNow);
+
+  /** Returns whether a worker's place in the lists depends on what differs
+   * between two of its reports. */
+  static bool AffectsOrder(const WorkerReport& aKnown,
+                           const WorkerReport& aNew);
+
+private:
+  using Position = WorkerSession::IndexPosition;
+  struct Order
+  {
+    bool operator()(const Position& aLeft, const Position& aRight) const
+    {
+      return std::tie(aLeft.mIsCold, aLeft.mFreeMilliCores, aLeft.mNumber) <
+             std::tie(aRight.mIsCold, aRight.mFreeMilliCores, aRight.mNumber);
+    }
+  };
+  using Listing = std::map<Position, WorkerSession*, Order>;
+
+  /** \brief The workers of a pool: all, and those with a label. The listing of
+   * a label is created by the first search for it. */
+  struct PoolListings
+  {
+    Listing mAll;
+    std::unordered_map<std::string, Listing> mByLabel;
+    std::unordered_map<std::string, std::size_t> mLabelCounts;
+  };
+
+  /** \brief A search for the worker of one task. */
+  struct Search
+  {
+    const DispatchJob& mJob;
+    const TaskId& mTask;
+    TimePoint mNow;
+    /** Best worker among those on which the task did not succeed before. */
+    WorkerSession* mAvoided = nullptr;
+  };
+
+  static bool CanTakeRuns(const WorkerSession& aWorker, TimePoint aNow);
+  void List(WorkerSession& aWorker);
+  void Unlist(WorkerSession& aWorker);
+  void SetAside(WorkerSession& aWorker);
+  /** Returns the workers of a pool that have a label, or null if none has. */
+  static Listing* WithLabel(PoolListings& aPool, const std::string& aLabel);
+  WorkerSession* FindIn(Listing& aListing, bool aIsCold, Search& aSearch);
+
+  std::map<PoolName, PoolListings> mPools;
+  /** Workers that cannot take runs, by number. */
+  std::map<std::uint64_t, WorkerSession*> mAside;
+};
+
+}
--- a/Source/Dispatch/WorkerSession.cxx
+++ b/Source/Dispatch/WorkerSession.cxx
@@ -23,10 +23,12 @@
 
 }
 
-WorkerSession::WorkerSession(WorkerReport aReport,
+WorkerSession::WorkerSession(std::uint64_t aNumber,
+                             WorkerReport aReport,
                              TimePoint aNow,
                              std::chrono::milliseconds aMaxLease)
-  : mLastReport(aNow)
+  : mPosition{ false, 0, aNumber }
+  , mLastReport(aNow)
   , mReport(std::move(aReport))
   , mMaxLease(aMaxLease)
 {
@@ -78,7 +80,17 @@
 {
   mUsed += aRun.mNeeds;
   mOrphanCount += aRun.mIsOrphan ? 1 : 0;
-  return mRuns[aTask] = aRun;
+  TrackedRun& added = mRuns[aTask] = aRun;
+  NotifyRoomChanged();
+  return added;
+}
+
+void
+WorkerSession::NotifyRoomChanged()
+{
+  if (mRoomListener != nullptr) {
+    mRoomListener->OnRoomChanged(*this);
+  }
 }
 
 TrackedRun*
@@ -98,6 +110,7 @@
   mUsed -= run->second.mNeeds;
   mOrphanCount -= run->second.mIsOrphan ? 1 : 0;
   mRuns.erase(run);
+  NotifyRoomChanged();
 }
 
 void
@@ -108,6 +121,7 @@
   mOrphanCount -= aRun.mIsOrphan ? 1 : 0;
   aRun.mNeeds = aNeeds;
   aRun.mIsOrphan = false;
+  NotifyRoomChanged();
 }
 
 std::uint64_t
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 
 #include "Base/Clock.h"
@@ -47,6 +48,16 @@
   Clock::Monotonic mProgressReportedAt{};
 };
 
+class WorkerSession;
+
+/** \brief Is told when the free resources of a worker change. */
+class RoomListener
+{
+public:
+  virtual ~RoomListener() = default;
+  virtual void OnRoomChanged(WorkerSession& aWorker) = 0;
+};
+
 /** \brief The leader's view of one boot of a worker: its lease, its runs, and
  * the resources reserved for them. */
 class WorkerSession
@@ -54,11 +65,25 @@
 public:
   using TimePoint = Clock::Monotonic;
 
-  /** \param aMaxLease maximum duration of a lease */
-  WorkerSession(WorkerReport aReport,
+  /** \brief A worker's place in the lists of the WorkerIndex, which sets it. */
+  struct IndexPosition
+  {
+    bool mIsCold = false;
+    std::uint32_t mFreeMilliCores = 0;
+    /** Number of the session; different for each session of a leader. */
+    std::uint64_t mNumber = 0;
+  };
+
+  /** \param aNumber different for each session of a leader
+   * \param aMaxLease maximum duration of a lease */
+  WorkerSession(std::uint64_t aNumber,
+                WorkerReport aReport,
                 TimePoint aNow,
                 std::chrono::milliseconds aMaxLease);
 
+  /** Sets who is told of changes of the free resources; null for nobody. */
+  void SetRoomListener(RoomListener* aListener) { mRoomListener = aListener; }
+
   const WorkerReport& Report() const { return mReport; }
   /** Replaces the report by a newer one of the same boot. */
   void Update(WorkerReport aReport) { mReport = std::move(aReport); }
@@ -119,9 +144,19 @@
     mDoubtedUpToHold = mHoldsSent;
   }
 
+  bool HasUnacknowledgedEnds() const
+  {
+    return LastAcknowledgeableEnd() > mLastAcknowledgedEnd;
+  }
+
   /** Returns the highest end number that the worker may discard. */
   std::uint64_t LastAcknowledgeableEnd() const;
 
+  IndexPosition mPosition;
+  /** Time at which the WorkerTimers list the worker; unset if they do not. */
+  std::optional<TimePoint> mDueAt;
+  /** Cores that the leader counts as usable for this worker, in thousandths. */
+  std::uint32_t mCountedMilliCores = 0;
   /** True once the registration is being stored. */
   bool mIsRegistering = false;
   /** True once the registration is stored, so that every later leader knows
@@ -157,15 +192,19 @@
 
 private:
   std::chrono::milliseconds MaxLeaseOnLocalClock() const;
+  void NotifyRoomChanged();
 
   WorkerReport mReport;
   const std::chrono::milliseconds mMaxLease;
   std::map<TaskId, TrackedRun> mRuns;
   Resources mUsed;
+  RoomListener* mRoomListener = nullptr;
   bool mClockKnown = false;
   WorkerTime mClock = 0;
   TimePoint mClockAt{};
   TimePoint mLeaseBound{};
 };
 
+using WorkerSessions = std::map<WorkerId, WorkerSession>;
+
 }
--- a/Tests/Dispatch/CoordinatorSeededTest.cxx
+++ b/Tests/Dispatch/CoordinatorSeededTest.cxx
@@ -79,12 +79,11 @@
     const std::string queue = Chance(0.5) ? "urgent" : "patient";
     const int tasks = Between(1, 6);
     const int cores = Between(4, 15);
-    JobCall call =
-      mFixture.CallOf(queue,
-                      id,
-                      static_cast<std::uint32_t>(tasks),
-                      static_cast<std::uint32_t>(cores * 1000),
-                      stored);
+    JobCall call = mFixture.CallOf(queue,
+                                   id,
+                                   static_cast<std::uint32_t>(tasks),
+                                   static_cast<std::uint32_t>(cores * 1000),
+                                   stored);
     call.mJob.mSteps.front().mEstimateMs = 80;
     mJobs.push_back(call);
     mFixture.Submit(call, milliseconds(Between(20, 400)));
