--- a/Source/Transport/AsioHttpClient.cxx
+++ b/Source/Transport/AsioHttpClient.cxx
@@ -176,10 +176,19 @@
     connection->Fail(ErrorKind::EndpointTimeout,
                      "no response before the deadline");
   }
+  if (now >= mNextIdleSweep) {
+    mNextIdleSweep = now + kIdleSweepInterval;
+    CloseIdle(now);
+  }
+}
+
+void
+AsioHttpClient::CloseIdle(std::chrono::steady_clock::time_point aNow)
+{
   std::vector<ConnectionPtr> idle;
   for (const auto& [address, pool] : mPools) {
     for (const ConnectionPtr& connection : pool.mIdle) {
-      if (now - connection->IdleSince() >= mOptions.mMaxIdle) {
+      if (aNow - connection->IdleSince() >= mOptions.mMaxIdle) {
         idle.push_back(connection);
       }
     }
--- a/Source/Transport/AsioHttpClient.h
+++ b/Source/Transport/AsioHttpClient.h
@@ -59,11 +59,13 @@
   void OnAttemptEnded(AttemptId aAttempt);
   void ScheduleSweep();
   void Sweep();
+  void CloseIdle(std::chrono::steady_clock::time_point aNow);
 
   asio::io_context& mContext;
   const HttpClientOptions mOptions;
   asio::steady_timer mTimer;
   bool mSweepScheduled = false;
+  std::chrono::steady_clock::time_point mNextIdleSweep{};
   AttemptId mNextAttempt = 1;
   std::map<std::string, Pool> mPools;
   std::map<AttemptId, ConnectionPtr> mBusy;
--- a/Source/Transport/PeerRpcService.cxx
+++ b/Source/Transport/PeerRpcService.cxx
@@ -214,9 +214,18 @@
       return;
     }
     const Clock::Monotonic now = mClock.MonotonicNow();
+    // Most calls are to a few peers.
+    std::unordered_map<InstanceName, std::uint64_t> connections;
+    const auto connectionTo = [&](const InstanceName& aPeer) {
+      const auto [entry, isNew] = connections.try_emplace(aPeer, 0);
+      if (isNew) {
+        entry->second = mTransport.ConnectionNumber(aPeer);
+      }
+      return entry->second;
+    };
     for (auto call = mPending.begin(); call != mPending.end();) {
-      const bool connected = mTransport.ConnectionNumber(call->second.mTo) ==
-                             call->second.mConnection;
+      const bool connected =
+        connectionTo(call->second.mTo) == call->second.mConnection;
       if (connected && call->second.mDeadline > now) {
         ++call;
         continue;
--- a/Source/Transport/PeerSession.cxx
+++ b/Source/Transport/PeerSession.cxx
@@ -1,10 +1,10 @@
 #include "Transport/PeerSession.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
 #include <asio/post.hpp>
-#include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <glog/logging.h>
 
@@ -14,7 +14,7 @@
 
 namespace {
 
-// A larger read buffer is freed after its frame was handled.
+// A larger buffer is freed once its frames were handled.
 constexpr std::size_t kMaxRetainedBufferBytes = 64UL * 1024UL;
 /** Time within which the hello has to arrive. The connecting end closes a
  * connection on which it receives nothing earlier than that. */
@@ -38,7 +38,7 @@
 PeerSession::Start()
 {
   asio::post(mSocket.get_executor(), [self = shared_from_this()] {
-    self->ReadLength();
+    self->Read();
     self->WaitForHello();
   });
 }
@@ -72,55 +72,59 @@
 }
 
 void
-PeerSession::ReadLength()
+PeerSession::Read()
 {
-  asio::async_read(
-    mSocket,
-    asio::buffer(mLength),
-    [self = shared_from_this()](asio::error_code aError, std::size_t) {
-      if (aError) {
-        self->Close();
-        return;
-      }
-      self->ReadBody();
-    });
-}
-
-void
-PeerSession::ReadBody()
-{
-  const Result<std::size_t> length = DecodePeerLength(mLength);
-  if (length.has_error()) {
-    Reject(length.error());
-    return;
-  }
-  mBody.resize(length.value());
-  OnFrameBegins();
-  asio::async_read(
-    mSocket,
-    asio::buffer(mBody),
-    [self = shared_from_this()](asio::error_code aError, std::size_t) {
+  mSocket.async_read_some(
+    asio::buffer(mRead),
+    [self = shared_from_this()](asio::error_code aError, std::size_t aBytes) {
       if (aError) {
         self->Close();
         return;
       }
-      if (self->HandleBody()) {
-        self->ReadLength();
+      self->OnFrameBegins();
+      self->mIncoming.append(self->mRead.data(), aBytes);
+      if (self->HandleFrames()) {
+        self->Read();
       }
     });
 }
 
 bool
-PeerSession::HandleBody()
+PeerSession::HandleFrames()
 {
-  mInsideFrame = false;
-  return mFrom.empty() ? HandleHello() : HandleFrame();
+  std::size_t offset = 0;
+  while (mIncoming.size() - offset >= kPeerLengthBytes) {
+    std::array<char, kPeerLengthBytes> bytes{};
+    std::copy_n(mIncoming.data() + offset, kPeerLengthBytes, bytes.begin());
+    const Result<std::size_t> length = DecodePeerLength(bytes);
+    if (length.has_error()) {
+      Reject(length.error());
+      return false;
+    }
+    const std::size_t frameBytes = kPeerLengthBytes + length.value();
+    if (mIncoming.size() - offset < frameBytes) {
+      break;
+    }
+    const std::string_view body(mIncoming.data() + offset + kPeerLengthBytes,
+                                length.value());
+    offset += frameBytes;
+    const bool handled = mFrom.empty() ? HandleHello(body) : HandleFrame(body);
+    if (!handled) {
+      return false;
+    }
+  }
+  mIncoming.erase(0, offset);
+  mInsideFrame = !mIncoming.empty();
+  if (!mInsideFrame && mIncoming.capacity() > kMaxRetainedBufferBytes) {
+    mIncoming = std::string();
+  }
+  return true;
 }
 
 bool
-PeerSession::HandleHello()
+PeerSession::HandleHello(std::string_view aBody)
 {
-  const Result<PeerHello> hello = DecodePeerHello(mBody);
+  const Result<PeerHello> hello = DecodePeerHello(aBody);
   if (hello.has_error()) {
     Reject(hello.error());
     return false;
@@ -145,19 +149,16 @@
 }
 
 bool
-PeerSession::HandleFrame()
+PeerSession::HandleFrame(std::string_view aBody)
 {
-  const Result<PeerFrame> frame = DecodePeerFrame(mBody);
+  const Result<PeerFrame> frame = DecodePeerFrame(aBody);
   if (frame.has_error()) {
     Reject(frame.error());
     return false;
   }
   ++mTraffic.mFramesReceived;
-  mTraffic.mBytesReceived += mBody.size() + kPeerLengthBytes;
+  mTraffic.mBytesReceived += aBody.size() + kPeerLengthBytes;
   mTransport.Deliver(mFrom, frame.value());
-  if (mBody.capacity() > kMaxRetainedBufferBytes) {
-    mBody = std::string();
-  }
   return true;
 }
 
--- a/Source/Transport/PeerSession.h
+++ b/Source/Transport/PeerSession.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -38,12 +39,15 @@
   void Send(std::string aEncoded);
 
 private:
+  static constexpr std::size_t kReadBytes = 16UL * 1024UL;
+
   void WaitForHello();
-  void ReadLength();
-  void ReadBody();
-  bool HandleBody();
-  bool HandleHello();
-  bool HandleFrame();
+  void Read();
+  /** Handles the complete frames that were read. Returns whether the connection
+   * is still open. */
+  bool HandleFrames();
+  bool HandleHello(std::string_view aBody);
+  bool HandleFrame(std::string_view aBody);
   void Reject(const Error& aError);
   void Close();
   void WriteQueued();
@@ -54,8 +58,9 @@
   AsioPeerTransport& mTransport;
   PeerTraffic& mTraffic;
   const PeerTimings mTimings;
-  std::array<char, kPeerLengthBytes> mLength{};
-  std::string mBody;
+  std::array<char, kReadBytes> mRead{};
+  /** Bytes that were read and do not yet hold a complete frame. */
+  std::string mIncoming;
   InstanceName mFrom;
   bool mAcceptsAnswers = false;
   bool mSupportsIdleInterval = false;
