Dispatch: Refuses new work while the leader is behind

Change: the leader measures how late its tick is handled behind the messages before it. After two ticks in a row of 100 ms or more it takes new work of the most urgent queues only, from 200 ms on none, until the delay is under 40 ms. Jobs that are known, or that an earlier leader may have run, are never refused so. A line overload, two metrics.

--- a/Source/Dispatch/Admission.cxx
+++ b/Source/Dispatch/Admission.cxx
@@ -57,6 +57,14 @@
   return RetryDelay(aBacklog, aJitter);
 }
 
+milliseconds
+Admission::RetryDelayOfOverload(double aJitter)
+{
+  constexpr milliseconds kOverloadRetryDelay{ 1000 };
+  return std::chrono::duration_cast<milliseconds>(kOverloadRetryDelay *
+                                                  (1.0 + aJitter));
+}
+
 milliseconds
 Admission::RetryDelay(const Backlog& aBacklog, double aJitter)
 {
--- a/Source/Dispatch/Admission.h
+++ b/Source/Dispatch/Admission.h
@@ -45,6 +45,11 @@
     const Backlog& aBacklog,
     double aJitter);
 
+  /** Returns the delay after which a job that was refused for overload of the
+   * leader should be tried again.
+   * \param aJitter random number from 0 to 1 */
+  static std::chrono::milliseconds RetryDelayOfOverload(double aJitter);
+
   /** Estimates the time until the backlog is processed. */
   static std::chrono::milliseconds RetryDelay(const Backlog& aBacklog,
                                               double aJitter);
--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -8,7 +8,6 @@
 
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 /** Maximum number of tasks of one job; larger jobs are refused as malformed. */
@@ -210,25 +209,26 @@
   JobPtr job = MakeJob(submission, *aMatch.mQueue);
   job->mMayHaveRun = aRequest.mEarlierSends > 0;
   const Backlog backlog = BacklogBefore(*job);
+  if (IsRefusedForOverload(*job)) {
+    RefuseNew(aCall,
+              *job,
+              backlog,
+              Admission::RetryDelayOfOverload(RandomJitter()),
+              "overload",
+              "the leader is behind and takes no new work of this urgency");
+    return;
+  }
   const auto retryDelay =
     mRecoveryComplete && !job->mMayHaveRun
       ? Admission::RetryDelayIfRefused(*job, backlog, RandomJitter())
       : std::nullopt;
   if (retryDelay) {
-    ++mCounters.mRefused;
-    EventLine(mLog, "job-refused")
-      .With("job", submission.mId)
-      .With("queue", aMatch.mQueue->mName)
-      .With("reason", "backlog")
-      .With("work_ahead_core_ms",
-            static_cast<std::int64_t>(backlog.mCoreMsAhead))
-      .With("cores", static_cast<std::int64_t>(backlog.mUsableCores))
-      .With("retry_after_ms", std::int64_t{ retryDelay->count() });
-    JobReply reply;
-    reply.mKind = JobReplyKind::Refused;
-    reply.mRetryAfterMs = static_cast<std::uint32_t>(retryDelay->count());
-    reply.mMessage = "the backlog is too long to start the job in time";
-    mReplies.Reply(aCall, reply);
+    RefuseNew(aCall,
+              *job,
+              backlog,
+              *retryDelay,
+              "backlog",
+              "the backlog is too long to start the job in time");
     return;
   }
   Accept(std::move(job), aCall);
@@ -331,39 +331,6 @@
   Schedule();
 }
 
-Backlog
-Coordinator::BacklogBefore(const DispatchJob& aJob) const
-{
-  constexpr double kMilliCoresOfCore = 1000.0;
-  Backlog backlog = mReady.BacklogBefore(aJob);
-  const auto cores = mUsableMilliCores.find(aJob.mQueue.mPool);
-  if (cores != mUsableMilliCores.end()) {
-    backlog.mUsableCores =
-      static_cast<double>(cores->second) / kMilliCoresOfCore;
-  }
-  return backlog;
-}
-
-void
-Coordinator::CountUsableCores(WorkerSession& aWorker, TimePoint aNow)
-{
-  const bool usable =
-    aWorker.IsUsable() && !aWorker.mHealth.IsQuarantined(aNow);
-  CountUsableCores(aWorker,
-                   usable ? aWorker.Report().mCapacity.mMilliCores : 0);
-}
-
-void
-Coordinator::CountUsableCores(WorkerSession& aWorker, std::uint32_t aMilliCores)
-{
-  if (aWorker.mCountedMilliCores == aMilliCores) {
-    return;
-  }
-  std::uint64_t& sum = mUsableMilliCores[aWorker.Report().mPool];
-  sum = sum - aWorker.mCountedMilliCores + aMilliCores;
-  aWorker.mCountedMilliCores = aMilliCores;
-}
-
 void
 Coordinator::Query(CallId aCall, const JobCall&, const QueueMatch& aMatch)
 {
@@ -509,37 +476,6 @@
   }
 }
 
-// Requires that no task of the job has been started.
-void
-Coordinator::Refuse(DispatchJob& aJob, const char* aReason)
-{
-  ++mCounters.mRefused;
-  const Backlog backlog = BacklogBefore(aJob);
-  JobReply reply;
-  reply.mKind = JobReplyKind::Refused;
-  reply.mRetryAfterMs = static_cast<std::uint32_t>(
-    Admission::RetryDelay(backlog, RandomJitter()).count());
-  reply.mMessage = aReason;
-  EventLine(mLog, "job-refused")
-    .With("job", aJob.mSubmission.mId)
-    .With("queue", aJob.mQueue.mName)
-    .With("reason", aReason)
-    .With("waited_ms",
-          std::int64_t{
-            duration_cast<milliseconds>(mClock.MonotonicNow() - aJob.mArrivedAt)
-              .count() })
-    .With("retry_after_ms", reply.mRetryAfterMs);
-  ReplyAll(aJob, reply);
-  mReady.Remove(aJob);
-  mJobs.erase(aJob.mSubmission.mId);
-}
-
-double
-Coordinator::RandomJitter()
-{
-  return std::uniform_real_distribution<double>(0.0, 1.0)(mRandom);
-}
-
 void
 Coordinator::Tick()
 {
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -21,6 +21,7 @@
 #include "Dispatch/DispatchState.h"
 #include "Dispatch/LatencyHistogram.h"
 #include "Dispatch/OrderTimeoutEstimator.h"
+#include "Dispatch/OverloadDetector.h"
 #include "Dispatch/ReadyQueue.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Dispatch/WorkerIndex.h"
@@ -183,6 +184,11 @@
    * instance leads. */
   void Tick();
 
+  /** Records how late a periodic event was handled, behind the messages that
+   * arrived before it. */
+  void ObserveDelay(std::chrono::milliseconds aDelay);
+  const OverloadDetector& Load() const { return mLoad; }
+
   const CoordinatorCounters& Counters() const { return mCounters; }
   const CoordinatorLatencies& Latencies() const { return mLatencies; }
   const WorkerSessions& Workers() const { return mWorkers; }
@@ -213,6 +219,14 @@
   void Accept(JobPtr aJob, CallId aCall);
   void OnAcceptStored(const JobId& aId);
   void CancelStored(DispatchJob& aJob, CallId aCall);
+  bool IsRefusedForOverload(const DispatchJob& aJob) const;
+  /** Refuses a job that was not accepted. */
+  void RefuseNew(CallId aCall,
+                 const DispatchJob& aJob,
+                 const Backlog& aBacklog,
+                 std::chrono::milliseconds aRetryDelay,
+                 const char* aReason,
+                 const char* aMessage);
   Backlog BacklogBefore(const DispatchJob& aJob) const;
   /** Counts the cores of a worker as usable or not, according to its state. */
   void CountUsableCores(WorkerSession& aWorker, TimePoint aNow);
@@ -382,6 +396,7 @@
   TimePoint mNextCountAt{};
   /** Workers with runs whose jobs are unknown to this leader. */
   std::set<WorkerId> mWorkersWithOrphans;
+  OverloadDetector mLoad;
   CoordinatorCounters mCounters;
   CoordinatorLatencies mLatencies;
 };
--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -347,6 +347,8 @@
     if (aError) {
       return;
     }
+    mCoordinator.ObserveDelay(std::chrono::duration_cast<milliseconds>(
+      std::chrono::steady_clock::now() - mTimer.expiry()));
     Tick();
     ScheduleTick();
   });
--- a/Source/Dispatch/DispatchMetrics.cxx
+++ b/Source/Dispatch/DispatchMetrics.cxx
@@ -244,6 +244,15 @@
           "Workers whose reports reach this instance",
           static_cast<double>(mCoordinator->KnownWorkerCount())));
   aFamilies.push_back(IgnoredReports(mCoordinator->IgnoredReports()));
+  aFamilies.push_back(
+    Gauge("almondspoke_dispatch_delay_seconds",
+          "Time from the arrival of a message to its handling",
+          static_cast<double>(coordinator.Load().Delay().count()) /
+            kMillisecondsPerSecond));
+  aFamilies.push_back(
+    Gauge("almondspoke_dispatch_overload",
+          "1 if only the most urgent new work is taken, 2 if none is",
+          static_cast<double>(coordinator.Load().State())));
   const WorkerSessions& workers = coordinator.Workers();
   const auto usable =
     std::count_if(workers.begin(), workers.end(), [](const auto& aEntry) {
--- a/Source/Dispatch/WorkerSession.cxx
+++ b/Source/Dispatch/WorkerSession.cxx
@@ -15,6 +15,8 @@
  * resolution of clocks and timers. */
 constexpr std::chrono::milliseconds kLeaseExpiryMargin{ 30 };
 
+constexpr std::chrono::milliseconds kMaxAcknowledgeDelay{ 1500 };
+
 std::chrono::milliseconds
 ElapsedMs(Clock::Monotonic aThen, Clock::Monotonic aNow)
 {
@@ -124,6 +126,12 @@
   NotifyRoomChanged();
 }
 
+WorkerSession::TimePoint
+WorkerSession::AcknowledgeBy() const
+{
+  return mUnacknowledgedSince + kMaxAcknowledgeDelay;
+}
+
 std::uint64_t
 WorkerSession::LastAcknowledgeableEnd() const
 {
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -144,6 +144,9 @@
     mDoubtedUpToHold = mHoldsSent;
   }
 
+  /** Returns the time by which the processed ends must be acknowledged, even if
+   * the worker has no further runs. */
+  TimePoint AcknowledgeBy() const;
   bool HasUnacknowledgedEnds() const
   {
     return LastAcknowledgeableEnd() > mLastAcknowledgedEnd;
--- a/Tests/Dispatch/ScriptedLeader.h
+++ b/Tests/Dispatch/ScriptedLeader.h
@@ -78,6 +78,8 @@
     manifest.mPools.push_back({ "pool", false, 64 });
     manifest.mQueues.push_back(
       { "urgent", "desk", "/urgent/", "pool", 0, 2, 1500, 1.6, 60 });
+    manifest.mQueues.push_back(
+      { "patient", "desk", "/patient/", "pool", 2, 2, 1500, 1.6, 60 });
     mCoordinator.SetManifest(
       std::make_shared<const dispatch::Manifest>(manifest));
   }
@@ -109,12 +111,15 @@
   /** Submits a best-effort job with one step. */
   void Submit(const std::string& aId,
               std::uint32_t aTasks,
-              std::uint32_t aMilliCores)
+              std::uint32_t aMilliCores,
+              const std::string& aQueue = "urgent",
+              std::uint32_t aEarlierSends = 0)
   {
     dispatch::JobCall call;
     call.mKind = dispatch::JobCallKind::Submit;
     call.mHost = "desk";
-    call.mPath = "/urgent/" + aId;
+    call.mPath = "/" + aQueue + "/" + aId;
+    call.mEarlierSends = aEarlierSends;
     call.mWaitMs = 1500;
     call.mJob.mBestEffort = true;
     dispatch::StepSpec step;
