--- a/Source/Transport/AsioHttpClient.cxx
+++ b/Source/Transport/AsioHttpClient.cxx
@@ -165,7 +165,9 @@
 void
 AsioHttpClient::Sweep()
 {
-  const auto now = std::chrono::steady_clock::now();
+  // A late sweep judges as of the time at which it was due: answers that have
+  // arrived since may wait behind it.
+  const auto now = mTimer.expiry();
   std::vector<ConnectionPtr> due;
   for (const auto& [id, connection] : mBusy) {
     if (now >= connection->Deadline()) {
--- a/Source/Transport/PeerLink.cxx
+++ b/Source/Transport/PeerLink.cxx
@@ -66,21 +66,26 @@
     ++mTraffic.mFramesDropped;
     return;
   }
-  asio::post(
-    mStrand,
-    [self = shared_from_this(), encoded = std::move(aEncoded)]() mutable {
-      const bool full =
-        self->mQueuedBytes + encoded.size() > kMaxQueuedPeerBytes;
-      if (!self->mConnected || full) {
-        ++self->mTraffic.mFramesDropped;
-        return;
-      }
-      self->mQueuedBytes += encoded.size();
-      self->mQueue.push_back(std::move(encoded));
-      if (self->mWriting.empty()) {
-        self->WriteQueued();
-      }
-    });
+  if (mOutbox.Add(std::move(aEncoded))) {
+    asio::post(mStrand, [self = shared_from_this()] { self->Flush(); });
+  }
+}
+
+void
+PeerLink::Flush()
+{
+  for (std::string& frame : mOutbox.TakeAll()) {
+    const bool full = mQueuedBytes + frame.size() > kMaxQueuedPeerBytes;
+    if (!mConnected || full) {
+      ++mTraffic.mFramesDropped;
+      continue;
+    }
+    mQueuedBytes += frame.size();
+    mQueue.push_back(std::move(frame));
+  }
+  if (mWriting.empty() && !mQueue.empty()) {
+    WriteQueued();
+  }
 }
 
 void
--- a/Source/Transport/PeerLink.h
+++ b/Source/Transport/PeerLink.h
@@ -19,6 +19,7 @@
 #include <asio/strand.hpp>
 
 #include "Base/InstanceIdentity.h"
+#include "Transport/PeerOutbox.h"
 #include "Transport/PeerTransport.h"
 
 namespace almondspoke {
@@ -105,6 +106,8 @@
   void OnConnected();
   void OnConnectionLost(const std::string& aReason);
   void ScheduleReconnect();
+  /** Queues the frames of the outbox and begins to write them. */
+  void Flush();
   void WriteQueued();
   void ReadAnswers();
   /** Handles all answers that have been read completely. Returns false if the
@@ -113,7 +116,7 @@
   void ScheduleLivenessCheck();
   bool IsTimedOut() const;
 
-  static constexpr std::size_t kReadBytes = 4096;
+  static constexpr std::size_t kReadBytes = 16UL * 1024UL;
 
   asio::strand<asio::io_context::executor_type> mStrand;
   InstanceName mPeer;
@@ -125,6 +128,7 @@
   asio::ip::tcp::socket mSocket;
   asio::steady_timer mTimer;
   std::minstd_rand mRandom;
+  PeerOutbox mOutbox;
   std::deque<std::string> mQueue;
   std::vector<std::string> mWriting;
   std::size_t mQueuedBytes = 0;
--- a/Source/Transport/PeerRpcService.cxx
+++ b/Source/Transport/PeerRpcService.cxx
@@ -213,7 +213,10 @@
     if (mStopped) {
       return;
     }
-    const Clock::Monotonic now = mClock.MonotonicNow();
+    // A late sweep judges as of the time at which it was due: answers that have
+    // arrived since may wait behind it.
+    const auto lateness = std::chrono::steady_clock::now() - mTimer.expiry();
+    const Clock::Monotonic now = mClock.MonotonicNow() - lateness;
     // Most calls are to a few peers.
     std::unordered_map<InstanceName, std::uint64_t> connections;
     const auto connectionTo = [&](const InstanceName& aPeer) {
--- a/Source/Transport/PeerSession.cxx
+++ b/Source/Transport/PeerSession.cxx
@@ -57,18 +57,25 @@
 void
 PeerSession::Send(std::string aEncoded)
 {
-  asio::post(mSocket.get_executor(),
-             [self = shared_from_this(), encoded = std::move(aEncoded)] {
-               const bool full =
-                 self->mQueued.size() + encoded.size() > kMaxQueuedPeerBytes;
-               if (!self->mSocket.is_open() || full) {
-                 ++self->mTraffic.mFramesDropped;
-                 return;
-               }
-               self->mQueued += encoded;
-               ++self->mQueuedFrames;
-               self->WriteQueued();
-             });
+  if (mOutbox.Add(std::move(aEncoded))) {
+    asio::post(mSocket.get_executor(),
+               [self = shared_from_this()] { self->Flush(); });
+  }
+}
+
+void
+PeerSession::Flush()
+{
+  for (const std::string& frame : mOutbox.TakeAll()) {
+    const bool full = mQueued.size() + frame.size() > kMaxQueuedPeerBytes;
+    if (!mSocket.is_open() || full) {
+      ++mTraffic.mFramesDropped;
+      continue;
+    }
+    mQueued += frame;
+    ++mQueuedFrames;
+  }
+  WriteQueued();
 }
 
 void
--- a/Source/Transport/PeerSession.h
+++ b/Source/Transport/PeerSession.h
@@ -13,6 +13,7 @@
 #include "Base/InstanceIdentity.h"
 #include "Transport/PeerFrameCodec.h"
 #include "Transport/PeerLink.h"
+#include "Transport/PeerOutbox.h"
 
 namespace almondspoke {
 
@@ -50,6 +51,8 @@
   bool HandleFrame(std::string_view aBody);
   void Reject(const Error& aError);
   void Close();
+  /** Queues the answers of the outbox and begins to write them. */
+  void Flush();
   void WriteQueued();
   void OnFrameBegins();
   void ScheduleLiveness();
@@ -69,6 +72,7 @@
   bool mIsLivenessDue = true;
   /** Timeout of the hello first, then the time of the next liveness write. */
   asio::steady_timer mTimer;
+  PeerOutbox mOutbox;
   std::string mQueued;
   std::size_t mQueuedFrames = 0;
   std::string mWriting;
