Dispatch: Places nothing without the lease and gives relays more time

A single late answer passed a relay over; a batch of lists to workers that were cut off passed over three.

Change: without the lease the leader places nothing and reads no lists, and goes on when it holds it again. A relay has 150 ms in addition to the worker's time, and is passed over after four orders in a row without an answer.

--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -45,7 +45,8 @@
 void
 Coordinator::HoldIfDue(WorkerSession& aWorker, TimePoint aNow)
 {
-  if (NeedsHold(aWorker, aNow) && aNow >= aWorker.mNextHoldAt) {
+  if (NeedsHold(aWorker, aNow) && mCalls.MaySend() &&
+      aNow >= aWorker.mNextHoldAt) {
     Hold(aWorker, false);
   }
 }
--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -221,7 +221,8 @@
 void
 Coordinator::Schedule()
 {
-  if (!mRecoveryComplete || mReady.IsEmpty()) {
+  // Without the lease, an order would only put its worker in doubt.
+  if (!mRecoveryComplete || mReady.IsEmpty() || !mCalls.MaySend()) {
     return;
   }
   std::map<PoolName, Resources> unplacedNeeds;
--- a/Source/Dispatch/LeasedWorkerCalls.h
+++ b/Source/Dispatch/LeasedWorkerCalls.h
@@ -32,6 +32,7 @@
   void Hold(const HoldOrder& aOrder,
             std::chrono::milliseconds aTimeout,
             HoldDone aDone) override;
+  bool MaySend() const override { return mHoldsLease(); }
 
 private:
   asio::io_context& mContext;
--- a/Source/Dispatch/RelayDirectory.cxx
+++ b/Source/Dispatch/RelayDirectory.cxx
@@ -13,6 +13,10 @@
 /** Time for which a relay that failed is passed over. */
 constexpr std::chrono::milliseconds kPassOverTime{ 2000 };
 
+/** Consecutive unanswered orders that show that a relay fails, rather than a
+ * worker or a single message. */
+constexpr unsigned kMaxUnanswered = 4;
+
 }
 
 RelayDirectory::RelayDirectory(const Clock& aClock, EventLog& aLog)
@@ -56,6 +60,25 @@
   EventLine(mLog, "relay-lost").With("peer", aPeer).With("reason", aReason);
 }
 
+void
+RelayDirectory::OnAnswered(const InstanceName& aPeer)
+{
+  const auto relay = mRelays.find(aPeer);
+  if (relay != mRelays.end()) {
+    relay->second.mUnanswered = 0;
+  }
+}
+
+void
+RelayDirectory::OnUnanswered(const InstanceName& aPeer)
+{
+  const auto relay = mRelays.find(aPeer);
+  if (relay != mRelays.end() && ++relay->second.mUnanswered >= kMaxUnanswered) {
+    relay->second.mUnanswered = 0;
+    PassOver(aPeer, "no answer");
+  }
+}
+
 std::optional<InstanceName>
 RelayDirectory::RelayOf(const std::string& aDataCentre,
                         const WorkerId& aWorker) const
--- a/Source/Dispatch/RelayDirectory.h
+++ b/Source/Dispatch/RelayDirectory.h
@@ -31,6 +31,10 @@
   /** Passes a relay over for a time.
    * \param aReason what was observed, for the log */
   void PassOver(const InstanceName& aPeer, const char* aReason);
+  /** Records whether a relay has answered an order in time. One that leaves
+   * several in a row unanswered is passed over. */
+  void OnAnswered(const InstanceName& aPeer);
+  void OnUnanswered(const InstanceName& aPeer);
 
   /** Returns the relay for a worker, always the same one while the relays of
    * its data centre stay the same; nothing if there is none. */
@@ -43,6 +47,8 @@
     std::string mDataCentre;
     TimePoint mValidUntil{};
     TimePoint mPassedOverUntil{};
+    /** Consecutive orders without an answer. */
+    unsigned mUnanswered = 0;
   };
 
   const Clock& mClock;
--- a/Source/Dispatch/RelayedWorkerCalls.cxx
+++ b/Source/Dispatch/RelayedWorkerCalls.cxx
@@ -12,7 +12,7 @@
 
 /** Time for the way to the relay and back, in addition to the time that the
  * worker has to answer. */
-constexpr milliseconds kRelayMargin{ 40 };
+constexpr milliseconds kRelayMargin{ 150 };
 
 template<typename Order>
 RelayedOrder
@@ -83,6 +83,12 @@
     });
 }
 
+bool
+RelayedWorkerCalls::MaySend() const
+{
+  return mDirect.MaySend();
+}
+
 template<typename Answer>
 void
 RelayedWorkerCalls::Send(RelayedOrder aOrder,
@@ -122,6 +128,7 @@
                              const SendDirectly& aSendDirectly)
 {
   if (aAnswer) {
+    mRelays.OnAnswered(aRelay);
     const Result<Answer> answer = UnpackMessage<Answer>(aAnswer.value());
     aDone(answer ? answer.value() : Answer{});
     return;
@@ -140,7 +147,7 @@
     answer.mOutcome = OrderOutcome::NotSent;
   } else {
     ++mCounters.mUnanswered;
-    mRelays.PassOver(aRelay, "no answer");
+    mRelays.OnUnanswered(aRelay);
   }
   aDone(answer);
 }
--- a/Source/Dispatch/RelayedWorkerCalls.h
+++ b/Source/Dispatch/RelayedWorkerCalls.h
@@ -51,6 +51,8 @@
             std::chrono::milliseconds aTimeout,
             HoldDone aDone) override;
 
+  bool MaySend() const override;
+
   const RelayCounters& Counters() const { return mCounters; }
 
 private:
--- a/Source/Dispatch/WorkerCalls.h
+++ b/Source/Dispatch/WorkerCalls.h
@@ -229,6 +229,9 @@
   virtual void Hold(const HoldOrder& aOrder,
                     std::chrono::milliseconds aTimeout,
                     HoldDone aDone) = 0;
+  /** Returns whether orders would be sent now, as opposed to ended as NotSent
+   * since this instance may not lead any more. */
+  virtual bool MaySend() const { return true; }
 };
 
 }
--- a/Tests/Dispatch/OrderRelayTest.cxx
+++ b/Tests/Dispatch/OrderRelayTest.cxx
@@ -215,11 +215,15 @@
 {
   RelayFixture fixture;
   fixture.mLeaderRpc.mHold = true;
-  fixture.Start();
-  fixture.mLeaderRpc.mHeld(Error(ErrorKind::PeerTimeout, "no answer"));
-  REQUIRE(fixture.mResult);
-  CHECK(fixture.mResult->mOutcome == OrderOutcome::Unknown);
-  CHECK(fixture.mDirect.mStarts.empty());
+  constexpr int kUnanswered = 4;
+  for (int i = 0; i < kUnanswered; ++i) {
+    fixture.mResult.reset();
+    fixture.Start();
+    fixture.mLeaderRpc.mHeld(Error(ErrorKind::PeerTimeout, "no answer"));
+    REQUIRE(fixture.mResult);
+    CHECK(fixture.mResult->mOutcome == OrderOutcome::Unknown);
+    CHECK(fixture.mDirect.mStarts.empty());
+  }
   // The relay is passed over for a time, and then used again.
   fixture.mLeaderRpc.mHold = false;
   fixture.Start();
--- a/Tests/Dispatch/ScriptedLeader.h
+++ b/Tests/Dispatch/ScriptedLeader.h
@@ -46,6 +46,8 @@
     mHolds.push_back({ aOrder, std::move(aDone) });
   }
 
+  bool MaySend() const override { return mMaySend; }
+
   /** Removes the oldest order of a kind and returns it. */
   template<typename Entry>
   static Entry TakeFirst(std::deque<Entry>& aQueue)
@@ -58,6 +60,8 @@
   std::deque<PendingStart> mStarts;
   std::deque<PendingStop> mStops;
   std::deque<PendingHold> mHolds;
+  /** False while the leader does not hold its lease. */
+  bool mMaySend = true;
 };
 
 /** \brief An elected leader whose workers are played by the test. Records are
--- a/Tests/Dispatch/WorkerReadTest.cxx
+++ b/Tests/Dispatch/WorkerReadTest.cxx
@@ -86,3 +86,17 @@
   REQUIRE(leader.mOrders.mStarts.size() == 1);
   CHECK(leader.mOrders.mStarts.front().mOrder.mRun.mTask.mJob == "second");
 }
+
+TEST_CASE("Worker lists: a leader without its lease puts no worker in doubt")
+{
+  ScriptedLeader leader;
+  StartOneRun(leader);
+  leader.mOrders.mMaySend = false;
+  leader.Submit("second", 1, 8000);
+  leader.Run(milliseconds(10));
+  CHECK(leader.mOrders.mStarts.empty());
+  CHECK(leader.mCoordinator.Workers().at("w0").IsUsable());
+  leader.mOrders.mMaySend = true;
+  leader.Run(milliseconds(10));
+  CHECK(leader.mOrders.mStarts.size() == 1);
+}
