--- a/Tests/Dispatch/WorkerIndexTest.cxx
+++ b/Tests/Dispatch/WorkerIndexTest.cxx
@@ -38,7 +38,7 @@
       if (Between(0, 3) == 0) {
         mIndex.ReadmitAll(mNow);
       }
-      const std::string difference = Place(i);
+      std::string difference = Place(i);
       if (!difference.empty()) {
         return difference;
       }
