--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -89,7 +89,8 @@
   , mLeasedCalls(aParts.mContext,
                  aParts.mCalls,
                  [this] { return mGroup && IsLeadingNow(); })
-  , mRelayedCalls(aParts.mRpc,
+  , mRelayedCalls(aParts.mClock,
+                  aParts.mRpc,
                   mLeasedCalls,
                   mRelays,
                   [this] { return TermOfLeadership(); })
--- a/Source/Dispatch/RelayDirectory.cxx
+++ b/Source/Dispatch/RelayDirectory.cxx
@@ -82,11 +82,26 @@
 std::optional<InstanceName>
 RelayDirectory::RelayOf(const std::string& aDataCentre,
                         const WorkerId& aWorker) const
+{
+  return Choose(aWorker, [&](const Relay& aRelay) {
+    return aRelay.mDataCentre == aDataCentre;
+  });
+}
+
+std::optional<InstanceName>
+RelayDirectory::AnyRelayFor(const WorkerId& aWorker) const
+{
+  return Choose(aWorker, [](const Relay&) { return true; });
+}
+
+template<typename Predicate>
+std::optional<InstanceName>
+RelayDirectory::Choose(const WorkerId& aWorker, Predicate aIsSuitable) const
 {
   const TimePoint now = mClock.MonotonicNow();
   std::vector<const InstanceName*> usable;
   for (const auto& [peer, relay] : mRelays) {
-    if (relay.mDataCentre == aDataCentre && now < relay.mValidUntil &&
+    if (aIsSuitable(relay) && now < relay.mValidUntil &&
         now >= relay.mPassedOverUntil) {
       usable.push_back(&peer);
     }
--- a/Source/Dispatch/RelayDirectory.h
+++ b/Source/Dispatch/RelayDirectory.h
@@ -40,8 +40,17 @@
    * its data centre stay the same; nothing if there is none. */
   std::optional<InstanceName> RelayOf(const std::string& aDataCentre,
                                       const WorkerId& aWorker) const;
+  /** Returns a relay of any data centre for a worker; nothing if there is none.
+   */
+  std::optional<InstanceName> AnyRelayFor(const WorkerId& aWorker) const;
 
 private:
+  struct Relay;
+
+  template<typename Predicate>
+  std::optional<InstanceName> Choose(const WorkerId& aWorker,
+                                     Predicate aIsSuitable) const;
+
   struct Relay
   {
     std::string mDataCentre;
--- a/Source/Dispatch/RelayedWorkerCalls.cxx
+++ b/Source/Dispatch/RelayedWorkerCalls.cxx
@@ -28,11 +28,13 @@
 }
 
 RelayedWorkerCalls::RelayedWorkerCalls(
+  const Clock& aClock,
   PeerRpc& aRpc,
   WorkerCalls& aDirect,
   RelayDirectory& aRelays,
   std::function<std::optional<Term>()> aLeadingTerm)
-  : mRpc(aRpc)
+  : mClock(aClock)
+  , mRpc(aRpc)
   , mDirect(aDirect)
   , mRelays(aRelays)
   , mLeadingTerm(std::move(aLeadingTerm))
@@ -89,6 +91,14 @@
   return mDirect.MaySend();
 }
 
+std::optional<InstanceName>
+RelayedWorkerCalls::RelayFor(const OrderTarget& aTarget) const
+{
+  const auto relay = mRelays.RelayOf(aTarget.mDataCentre, aTarget.mBoot.mId);
+  const bool mayUseAny = !relay && mRate.IsHigh();
+  return mayUseAny ? mRelays.AnyRelayFor(aTarget.mBoot.mId) : relay;
+}
+
 template<typename Answer>
 void
 RelayedWorkerCalls::Send(RelayedOrder aOrder,
@@ -98,8 +108,8 @@
 {
   const std::optional<Term> term = mLeadingTerm();
   const std::optional<InstanceName> relay =
-    term ? mRelays.RelayOf(aOrder.mTarget.mDataCentre, aOrder.mTarget.mBoot.mId)
-         : std::nullopt;
+    term ? RelayFor(aOrder.mTarget) : std::nullopt;
+  mRate.Count(mClock.MonotonicNow());
   if (!relay) {
     ++mCounters.mDirect;
     aSendDirectly();
--- a/Source/Dispatch/RelayedWorkerCalls.h
+++ b/Source/Dispatch/RelayedWorkerCalls.h
@@ -5,8 +5,10 @@
 #include <optional>
 #include <string>
 
+#include "Base/Clock.h"
 #include "Consensus/ConsensusTypes.h"
 #include "Dispatch/OrderMessages.h"
+#include "Dispatch/OrderRate.h"
 #include "Dispatch/RelayDirectory.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Transport/PeerRpc.h"
@@ -27,16 +29,20 @@
 /** \brief Lets the coordinators of other data centres send a leader's orders,
  * so that the calls to the workers use their processors.
  *
- * The leader makes all decisions; a relay only sends. An order goes directly if
- * the worker's data centre has no relay, or if the relay certainly did not send
+ * The leader makes all decisions; a relay only sends. Workers of a data centre
+ * without a relay, such as the leader's own one, get their orders directly, or
+ * through any relay while there are very many orders. An order also goes
+ * directly if the relay certainly did not send
  * it. If it may have been sent, its outcome is Unknown, like that of an order
  * whose answer was lost. */
 class RelayedWorkerCalls : public WorkerCalls
 {
 public:
-  /** \param aLeadingTerm returns the term in which this instance leads as the
+  /** \param aClock measures the rate of orders
+   * \param aLeadingTerm returns the term in which this instance leads as the
    *        elected leader; nothing if its orders must not be relayed */
-  RelayedWorkerCalls(PeerRpc& aRpc,
+  RelayedWorkerCalls(const Clock& aClock,
+                     PeerRpc& aRpc,
                      WorkerCalls& aDirect,
                      RelayDirectory& aRelays,
                      std::function<std::optional<Term>()> aLeadingTerm);
@@ -70,10 +76,15 @@
                 const std::function<void(const Answer&)>& aDone,
                 const SendDirectly& aSendDirectly);
 
+  /** Returns who sends an order to a worker; nothing for this instance. */
+  std::optional<InstanceName> RelayFor(const OrderTarget& aTarget) const;
+
+  const Clock& mClock;
   PeerRpc& mRpc;
   WorkerCalls& mDirect;
   RelayDirectory& mRelays;
   const std::function<std::optional<Term>()> mLeadingTerm;
+  OrderRate mRate;
   RelayCounters mCounters;
 };
 
--- a/Tests/Dispatch/OrderRelayTest.cxx
+++ b/Tests/Dispatch/OrderRelayTest.cxx
@@ -26,7 +26,11 @@
     : mLog(mClock, mSink)
     , mRelays(mClock, mLog)
     , mLeased(mContext, mDirect, [this] { return mHoldsLease; })
-    , mCalls(mLeaderRpc, mLeased, mRelays, [this] { return mLeadingTerm; })
+    , mCalls(mClock,
+             mLeaderRpc,
+             mLeased,
+             mRelays,
+             [this] { return mLeadingTerm; })
     , mRelay(mRelayRpc, mRelayed, [this] { return mRelayTerm; })
   {
     mRelay.Register();
@@ -269,3 +273,32 @@
   CHECK(fixture.mRelayed.mStarts.empty());
   CHECK(fixture.mRelay.OrdersInFlight() == 0);
 }
+
+TEST_CASE(
+  "Order relay: a leader that sends very many orders uses the relays of "
+  "other data centres too")
+{
+  constexpr int kManyOrders = 2500;
+  RelayFixture fixture;
+  fixture.mDataCentre = "sisak";
+  const auto sendMany = [&](int aOrders) {
+    for (int i = 0; i < aOrders; ++i) {
+      fixture.mClock.Advance(std::chrono::microseconds(200));
+      fixture.mRelays.Update("relay", "zagreb", true);
+      fixture.Start();
+    }
+  };
+  sendMany(100);
+  CHECK(fixture.mRelayed.mStarts.empty());
+  sendMany(2 * kManyOrders);
+  CHECK(fixture.mRelayed.mStarts.size() >= kManyOrders);
+  // Few orders go directly again.
+  fixture.mClock.Advance(milliseconds(500));
+  fixture.Start();
+  fixture.mRelayed.mStarts.clear();
+  fixture.mClock.Advance(milliseconds(500));
+  fixture.mRelays.Update("relay", "zagreb", true);
+  fixture.Start();
+  fixture.Start();
+  CHECK(fixture.mRelayed.mStarts.size() <= 1);
+}
