Dispatch: Sends no list order at all without the lease

Cause: the lease was looked at where a due order is sent, not where any order is sent. The answer to a list, a start or a stop sends the next list order, which without the lease ended as not sent and put its worker in doubt.

Change: the check stands in Hold().

Result: the new case failed before and passes. test_dispatch: 89 cases pass.

--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -45,8 +45,7 @@
 void
 Coordinator::HoldIfDue(WorkerSession& aWorker, TimePoint aNow)
 {
-  if (NeedsHold(aWorker, aNow) && mCalls.MaySend() &&
-      aNow >= aWorker.mNextHoldAt) {
+  if (NeedsHold(aWorker, aNow) && aNow >= aWorker.mNextHoldAt) {
     Hold(aWorker, false);
   }
 }
@@ -54,7 +53,8 @@
 void
 Coordinator::Hold(WorkerSession& aWorker, bool aUrgent)
 {
-  if (aWorker.mHoldInFlight && !aUrgent) {
+  // Without the lease, the order would only put the worker in doubt.
+  if ((aWorker.mHoldInFlight && !aUrgent) || !mCalls.MaySend()) {
     return;
   }
   const TimePoint now = mClock.MonotonicNow();
--- a/Tests/Dispatch/WorkerReadTest.cxx
+++ b/Tests/Dispatch/WorkerReadTest.cxx
@@ -100,3 +100,18 @@
   leader.Run(milliseconds(10));
   CHECK(leader.mOrders.mStarts.size() == 1);
 }
+
+TEST_CASE("Worker lists: a leader that loses its lease reads no list again "
+          "before it holds it")
+{
+  ScriptedLeader leader;
+  StartOneRun(leader);
+  leader.mOrders.mMaySend = false;
+  leader.AnswerHold({ ListedRun("first", 1) });
+  leader.Run(milliseconds(30));
+  CHECK(leader.mOrders.mHolds.empty());
+  CHECK(leader.mCoordinator.Workers().at("w0").IsUsable());
+  leader.mOrders.mMaySend = true;
+  leader.Run(milliseconds(20));
+  CHECK(leader.mOrders.mHolds.size() == 1);
+}
