Platform: Believes no clock that a worker cannot show

Cause: found when the change was read again. A clock of 2^63-1 in a report under a known id, or in an answer, was taken. A worker's clock is never set back, so all its leases would have ended out of range and no run would have started there. A data centre's name had no bound.

--- a/Source/Dispatch/WorkerReportCheck.cxx
+++ b/Source/Dispatch/WorkerReportCheck.cxx
@@ -16,8 +16,9 @@
 /** Largest resources of one worker. */
 constexpr Resources kMaxCapacity{ 10'000'000, 100'000'000, 10'000 };
 
-/** Largest sequence number. Leaves room for any number of later reports. */
-constexpr std::uint64_t kMaxSequence = std::uint64_t{ 1 } << 53U;
+/** Largest sequence number and clock. Leaves room for any number of later
+ * reports, and for lease ends beyond the clock. */
+constexpr std::uint64_t kMaxCount = std::uint64_t{ 1 } << 53U;
 
 /** A worker's time of day may be ahead of this instance's by this much. */
 constexpr std::chrono::hours kMaxStartTimeLead{ 1 };
@@ -100,8 +101,16 @@
   if (!validLabels) {
     return ReportDefect::Labels;
   }
-  return aReport.mSequence > kMaxSequence ? ReportDefect::Sequence
-                                          : ReportDefect::None;
+  if (aReport.mSequence > kMaxCount) {
+    return ReportDefect::Sequence;
+  }
+  if (aReport.mDataCentre.size() > kMaxNameBytes) {
+    return ReportDefect::DataCentre;
+  }
+  const bool isClock =
+    aReport.mClockMs >= 0 &&
+    static_cast<std::uint64_t>(aReport.mClockMs) <= kMaxCount;
+  return isClock ? ReportDefect::None : ReportDefect::Clock;
 }
 
 }
--- a/Source/Dispatch/WorkerReportCheck.h
+++ b/Source/Dispatch/WorkerReportCheck.h
@@ -22,10 +22,12 @@
   StartTime,
   Capacity,
   Labels,
-  Sequence
+  Sequence,
+  DataCentre,
+  Clock
 };
 
-inline constexpr std::array<EnumName<ReportDefect>, 9> kReportDefectNames = { {
+inline constexpr std::array<EnumName<ReportDefect>, 11> kReportDefectNames = { {
   { ReportDefect::None, "none" },
   { ReportDefect::Unreadable, "unreadable" },
   { ReportDefect::Id, "id" },
@@ -35,6 +37,8 @@
   { ReportDefect::Capacity, "capacity" },
   { ReportDefect::Labels, "labels" },
   { ReportDefect::Sequence, "sequence" },
+  { ReportDefect::DataCentre, "data-centre" },
+  { ReportDefect::Clock, "clock" },
 } };
 
 inline std::string_view
--- a/Tests/Platform/OddReportTest.cxx
+++ b/Tests/Platform/OddReportTest.cxx
@@ -84,6 +84,9 @@
   report["address"] = std::string(5000, '1') + ":80";
   CHECK_FALSE(NamesWorker("i-1", report.dump()));
   report = GoodReport();
+  report["zone"] = std::string(5000, 'z');
+  CHECK_FALSE(NamesWorker("i-1", report.dump()));
+  report = GoodReport();
   report["labels"] = json(std::vector<std::string>(100'000, "a"));
   CHECK_FALSE(NamesWorker("i-1", report.dump()));
   std::string text = GoodReport().dump();
@@ -127,3 +130,11 @@
     [[18446744073709551615,"j.0.1.2",1,"done",""]]})");
   CHECK(end.mEnded.empty());
 }
+
+TEST_CASE("Odd answers: a clock that no worker can show is not read")
+{
+  // A clock is never set back, so that one such value would end all leases.
+  const std::string body = R"({"clock_ms":9223372036854775807})";
+  CHECK(platform::DecodeOrderAnswer(200, body).mClock == 0);
+  CHECK(platform::DecodeHoldAnswer(409, body).mClock == 0);
+}
--- a/Tests/Platform/OddReports.h
+++ b/Tests/Platform/OddReports.h
@@ -75,6 +75,7 @@
   OddReport{ "/clock_ms", "-5" },
   OddReport{ "/clock_ms", R"("482113")" },
   OddReport{ "/clock_ms", "18446744073709551615" },
+  OddReport{ "/clock_ms", "9223372036854775807" },
   OddReport{ "/labels", "null" },
   OddReport{ "/labels", R"("a")" },
   OddReport{ "/labels", "[1]" },
