Review: Shows that another writer's heartbeat doubles runs

A heartbeat under the id of a runner that works, with a service that no manifest names and a later start, ends the runner's session; its tasks are started elsewhere while they run on.

--- a/review/common/cases.h
+++ b/review/common/cases.h
@@ -14,7 +14,7 @@
 int
 PlayWide(Record& record);
 int
-PlayAttempts(Record& record);
+PlayForeign(Record& record);
 
 inline const std::map<std::string, Case>&
 Cases()
@@ -23,7 +23,7 @@
     { "label", &PlayLabel },
     { "reborn", &PlayReborn },
     { "wide", &PlayWide },
-    { "attempts", &PlayAttempts },
+    { "foreign", &PlayForeign },
   };
   return cases;
 }
