Dispatch: Passes runs in doubt on to the later boot of a worker

Cause: an order names the worker's id, not its boot. Before the later boot's report reaches the leader, it takes orders meant for the boot before: it has seen no fence, and the lease end by the former clock lies far ahead. The leader then counted all runs of the session as lost with the boot before.

Ruled out: lost answers, a change of the leader.

The same cause elsewhere: acknowledgements of the former boot's ends make the later one forget its own; a new leader did not wait for the lists of a later boot of a registered worker; orders in flight had the later session's fence.

Change: a run is located once its boot has listed it or has answered its start with a clock that goes on. Located runs are lost with their boot; the others pass to the session of the later one, whose fence is raised, and its first lists decide. No ends are acknowledged while a run is not located. A boot that has not reported gets no new run.

Tests: the simulated workers compare ids only, as the protocol does.

--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -297,6 +297,8 @@
   void LoadStoredWorker(const WorkerReport& aReport);
   /** Stores the registration of a worker, unless that has been done. */
   void RegisterWorker(WorkerSession& aWorker);
+  /** Stores the registration of a later boot of a registered worker. */
+  void RegisterLaterBoot(WorkerSession& aWorker);
   void StoreEnd(WorkerSession& aWorker,
                 DispatchJob& aJob,
                 const EndedRun& aEnd);
@@ -319,6 +321,18 @@
   std::size_t UnprovenWorkers() const;
   void RemoveSilentWorkers(TimePoint aNow);
   void EndSession(const WorkerId& aId, const char* aReason);
+  /** Replaces the session of a worker by that of a later boot at the same
+   * address. Runs that are not located are passed on to it.
+   * \param aHasReported false if the boot was found before it has reported */
+  void BeginSessionOfLaterBoot(WorkerSession& aFormer,
+                               const WorkerReport& aReport,
+                               bool aHasReported);
+  void MarkAllRunsLost(WorkerSession& aWorker, const char* aReason);
+  void RemoveSession(WorkerSession& aWorker);
+  /** Processes a report of a later boot than the one of the session. */
+  void OnRestarted(WorkerSession& aWorker, const WorkerReport& aReport);
+  /** Processes the answer of a boot that has not reported yet. */
+  void OnOtherBootAnswered(WorkerSession& aWorker, std::uint64_t aStartTimeMs);
   /** Sends a hold order, which extends the lease and reads the run lists.
    * \param aUrgent sends the order even if another one is in flight, and
    * without a wait time */
--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -69,7 +69,8 @@
   HoldOrder order;
   order.mTarget = TargetOf(aWorker);
   order.mLeaseEnd = extend ? aWorker.GrantLease(now) : 0;
-  order.mAcknowledgedEnds = aWorker.LastAcknowledgeableEnd();
+  order.mAcknowledgedEnds =
+    aWorker.HasUnlocatedRuns() ? 0 : aWorker.LastAcknowledgeableEnd();
   const bool isLongPoll = !aUrgent && aWorker.mFenceAccepted &&
                           aWorker.mUnansweredHolds == 0 &&
                           !aWorker.Runs().empty();
@@ -112,12 +113,15 @@
   if (!aUrgent) {
     worker.mHoldInFlight = false;
   }
-  const bool otherBoot =
-    aResult.mOutcome == OrderOutcome::OtherBoot ||
-    (aResult.mStartTimeMs != 0 && aBoot.mStartTimeMs != 0 &&
-     aResult.mStartTimeMs != aBoot.mStartTimeMs);
-  if (otherBoot) {
-    EndSession(aBoot.mId, "another boot answers at the worker's address");
+  if (aResult.mOutcome == OrderOutcome::OtherBoot) {
+    EndSession(aBoot.mId, "another worker answers at the worker's address");
+    return;
+  }
+  const bool isOtherBoot = aResult.mStartTimeMs != 0 &&
+                           aBoot.mStartTimeMs != 0 &&
+                           aResult.mStartTimeMs != aBoot.mStartTimeMs;
+  if (isOtherBoot) {
+    OnOtherBootAnswered(worker, aResult.mStartTimeMs);
     return;
   }
   if (aResult.mOutcome == OrderOutcome::Fenced) {
@@ -281,9 +285,13 @@
       AddOrphan(aWorker, listed);
       continue;
     }
-    if (run->mPhase == RunPhase::Starting) {
+    const bool wasInDoubt =
+      run->mPhase == RunPhase::Starting ||
+      (run->mIsInherited && run->mPhase == RunPhase::Unconfirmed);
+    if (wasInDoubt) {
       run->mPhase = RunPhase::Running;
     }
+    run->mIsLocated = true;
     run->mPercent = listed.mPercent;
     run->mProgressReportedAt = now;
   }
@@ -301,6 +309,7 @@
   run.mNumber = aRun.mRun.mNumber;
   run.mPhase = RunPhase::Running;
   run.mIsOrphan = true;
+  run.mIsLocated = true;
   run.mLastOrderAt = mClock.MonotonicNow();
   run.mPercent = aRun.mPercent;
   run.mProgressReportedAt = run.mLastOrderAt;
@@ -351,7 +360,7 @@
   std::vector<TaskId> missing;
   for (const auto& [task, run] : aWorker.Runs()) {
     const bool isConfirmed =
-      run.mPhase == RunPhase::Running || run.mStopConfirmed;
+      run.mPhase == RunPhase::Running || run.mStopConfirmed || run.mIsInherited;
     if (isConfirmed && aHold > run.mIgnoreHoldsUpTo &&
         listed.count({ task, run.mNumber }) == 0) {
       missing.push_back(task);
@@ -365,14 +374,8 @@
 void
 Coordinator::RemoveRunsIfLeaseExpired(WorkerSession& aWorker, TimePoint aNow)
 {
-  if (aWorker.Runs().empty() || !aWorker.HasLeaseExpired(aNow) ||
-      !aWorker.IsClockKnown()) {
-    return;
-  }
-  while (!aWorker.Runs().empty()) {
-    MarkRunLost(aWorker,
-                aWorker.Runs().begin()->first,
-                "the lease of the worker has expired");
+  if (aWorker.HasLeaseExpired(aNow)) {
+    MarkAllRunsLost(aWorker, "the lease of the worker has expired");
   }
 }
 
--- a/Source/Dispatch/CoordinatorRecords.cxx
+++ b/Source/Dispatch/CoordinatorRecords.cxx
@@ -110,6 +110,7 @@
     WorkerSession& worker = AddSession(aReport);
     worker.mIsRegistering = true;
     worker.mRegistered = true;
+    worker.mStoredBoot = aReport.mBoot;
     ++mProvenWorkers;
     return;
   }
@@ -129,6 +130,7 @@
   aWorker.mIsRegistering = true;
   ++mProvenWorkers;
   const WorkerReport& report = aWorker.Report();
+  aWorker.mStoredBoot = report.mBoot;
   PendingBatch([this, boot = report.mBoot](bool) {
     if (WorkerSession* worker = SessionOf(boot)) {
       worker->mRegistered = true;
@@ -139,6 +141,15 @@
   }).mRegistered.push_back(report);
 }
 
+// Until it is stored, a later leader finds the boot by the registration of the
+// former one, which has the same address.
+void
+Coordinator::RegisterLaterBoot(WorkerSession& aWorker)
+{
+  aWorker.mStoredBoot = aWorker.Report().mBoot;
+  PendingBatch([](bool) {}).mRegistered.push_back(aWorker.Report());
+}
+
 void
 Coordinator::StoreEnd(WorkerSession& aWorker,
                       DispatchJob& aJob,
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -103,6 +103,7 @@
 
   TrackedRun run;
   run.mNumber = order.mRun.mNumber;
+  run.mMinClockAtStart = aWorker.MinClockAt(now);
   run.mNeeds = step.mNeeds;
   run.mLastOrderAt = now;
   run.mProgressReportedAt = now;
@@ -168,7 +169,9 @@
   if (run->mPhase == RunPhase::Starting) {
     run->mPhase = RunPhase::Running;
   }
-  Hold(*worker, false);
+  // The clock of a later boot begins anew.
+  run->mIsLocated = run->mIsLocated || aResult.mClock >= run->mMinClockAtStart;
+  Hold(*worker, !run->mIsLocated);
 }
 
 void
--- a/Source/Dispatch/CoordinatorWorkers.cxx
+++ b/Source/Dispatch/CoordinatorWorkers.cxx
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "Dispatch/WorkerFence.h"
+
 namespace almondspoke::dispatch {
 
 namespace {
@@ -19,6 +21,11 @@
 /** Least time between two looks at a worker for the same reason. */
 constexpr milliseconds kTickInterval{ 10 };
 
+/** Longest time for which an order is on its way to a worker. */
+constexpr milliseconds kMaxOrderTransit{ 750 };
+
+constexpr const char* kRestarted = "the worker was restarted";
+
 }
 
 WorkerSession*
@@ -87,8 +94,7 @@
     return;
   }
   if (worker.Report().mBoot != aReport.mBoot) {
-    EndSession(aReport.mBoot.mId, "the worker was restarted");
-    AddWorker(aReport);
+    OnRestarted(worker, aReport);
     return;
   }
   const bool changed = worker.Report().mDraining != aReport.mDraining ||
@@ -120,9 +126,83 @@
   if (aReport.mClockMs > 0) {
     aWorker.ObserveClock(aReport.mClockMs, now);
   }
+  if (!aWorker.mHasReported) {
+    aWorker.mHasReported = true;
+    RegisterLaterBoot(aWorker);
+  }
   CountUsableCores(aWorker, now);
 }
 
+// Orders to the former boot reach a later one only at the same address. A boot
+// that was never registered has had no runs.
+void
+Coordinator::OnRestarted(WorkerSession& aWorker, const WorkerReport& aReport)
+{
+  const bool mayHaveTakenOrders =
+    aWorker.mRegistered && aWorker.Report().mAddress == aReport.mAddress;
+  if (!mayHaveTakenOrders) {
+    EndSession(aReport.mBoot.mId, kRestarted);
+    AddWorker(aReport);
+    return;
+  }
+  BeginSessionOfLaterBoot(aWorker, aReport, true);
+}
+
+void
+Coordinator::OnOtherBootAnswered(WorkerSession& aWorker,
+                                 std::uint64_t aStartTimeMs)
+{
+  if (!aWorker.mRegistered) {
+    EndSession(aWorker.Report().mBoot.mId,
+               "another boot answers at the worker's address");
+    return;
+  }
+  WorkerReport report = aWorker.Report();
+  report.mBoot.mStartTimeMs = aStartTimeMs;
+  report.mSequence = 0;
+  report.mClockMs = 0;
+  BeginSessionOfLaterBoot(aWorker, report, false);
+}
+
+// The fence is raised, so that the boot refuses all orders to the former one
+// from its first answer on. Its lists then show what it has taken of them.
+void
+Coordinator::BeginSessionOfLaterBoot(WorkerSession& aFormer,
+                                     const WorkerReport& aReport,
+                                     bool aHasReported)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  const auto inherited = aFormer.TakeUnlocatedRuns();
+  EventLine(mLog, "worker-restarted")
+    .With("worker", aReport.mBoot.mId)
+    .With("born", aReport.mBoot.mStartTimeMs)
+    .With("born_before", aFormer.Report().mBoot.mStartTimeMs)
+    .With("reported", aHasReported)
+    .With("runs", std::uint64_t{ aFormer.Runs().size() })
+    .With("runs_in_doubt", std::uint64_t{ inherited.size() });
+  const std::uint32_t round = std::min(aFormer.mFenceRound + 1, kMaxRound);
+  const WorkerBoot storedBoot = aFormer.mStoredBoot;
+  MarkAllRunsLost(aFormer, kRestarted);
+  RemoveSession(aFormer);
+  WorkerSession& worker = AddSession(aReport);
+  worker.mIsRegistering = true;
+  worker.mRegistered = true;
+  worker.mStoredBoot = storedBoot;
+  worker.mHasReported = aHasReported;
+  worker.mFenceRound = round;
+  for (const auto& [task, run] : inherited) {
+    worker.Add(task, run);
+  }
+  worker.AssumeLeaseGranted(now + kMaxOrderTransit);
+  if (aHasReported) {
+    RegisterLaterBoot(worker);
+  }
+  if (aReport.mClockMs > 0) {
+    worker.ObserveClock(aReport.mClockMs, now);
+  }
+  HoldIfDue(worker, now);
+}
+
 WorkerSession&
 Coordinator::AddSession(const WorkerReport& aReport)
 {
@@ -200,17 +280,30 @@
     .With("worker", aId)
     .With("reason", aReason)
     .With("runs", std::uint64_t{ worker.Runs().size() });
-  while (!worker.Runs().empty()) {
-    MarkRunLost(worker, worker.Runs().begin()->first, aReason);
-  }
+  MarkAllRunsLost(worker, aReason);
   if (worker.mIsRegistering) {
     --mProvenWorkers;
-    PendingBatch([](bool) {}).mRemovedWorkers.push_back(worker.Report().mBoot);
+    PendingBatch([](bool) {}).mRemovedWorkers.push_back(worker.mStoredBoot);
+  }
+  RemoveSession(worker);
+}
+
+void
+Coordinator::MarkAllRunsLost(WorkerSession& aWorker, const char* aReason)
+{
+  while (!aWorker.Runs().empty()) {
+    MarkRunLost(aWorker, aWorker.Runs().begin()->first, aReason);
   }
-  CountUsableCores(worker, 0U);
-  mIndex.Remove(worker);
-  mTimers.Remove(worker);
-  mWorkers.erase(aId);
+}
+
+void
+Coordinator::RemoveSession(WorkerSession& aWorker)
+{
+  CountUsableCores(aWorker, 0U);
+  mIndex.Remove(aWorker);
+  mTimers.Remove(aWorker);
+  const WorkerId id = aWorker.Report().mBoot.mId;
+  mWorkers.erase(id);
 }
 
 void
--- a/Source/Dispatch/WorkerSession.cxx
+++ b/Source/Dispatch/WorkerSession.cxx
@@ -126,6 +126,33 @@
   NotifyRoomChanged();
 }
 
+bool
+WorkerSession::HasUnlocatedRuns() const
+{
+  return std::any_of(mRuns.begin(), mRuns.end(), [](const auto& aEntry) {
+    return !aEntry.second.mIsLocated;
+  });
+}
+
+std::map<TaskId, TrackedRun>
+WorkerSession::TakeUnlocatedRuns()
+{
+  std::map<TaskId, TrackedRun> taken;
+  for (const auto& [task, run] : mRuns) {
+    if (!run.mIsLocated) {
+      taken.emplace(task, run);
+    }
+  }
+  for (auto& [task, run] : taken) {
+    Remove(task);
+    run.mIsInherited = true;
+    run.mStopConfirmed = false;
+    run.mStopInFlight = false;
+    run.mIgnoreHoldsUpTo = 0;
+  }
+  return taken;
+}
+
 WorkerSession::TimePoint
 WorkerSession::AcknowledgeBy() const
 {
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -33,6 +33,14 @@
   Resources mNeeds;
   /** True for a run of another leader until its job is known. */
   bool mIsOrphan = false;
+  /** True once it is shown that the boot of the session took the start order.
+   * An order names the worker's id only, so that a later boot may take it. */
+  bool mIsLocated = false;
+  /** The start order was given to an earlier boot, and this boot may have taken
+   * it. It takes no such order any more once it has answered a hold order. */
+  bool mIsInherited = false;
+  /** The boot's clock showed at least this when the start order was sent. */
+  WorkerTime mMinClockAtStart = 0;
   /** The worker has confirmed the stop, so that the run cannot begin any
    * more. */
   bool mStopConfirmed = false;
@@ -131,8 +139,8 @@
   /** Returns whether new runs may be started here if there is room. */
   bool IsUsable() const
   {
-    return mRegistered && mFenceAccepted && mUnansweredHolds == 0 &&
-           !mReport.mDraining && !mReport.mHasLeft;
+    return mRegistered && mHasReported && mFenceAccepted &&
+           mUnansweredHolds == 0 && !mReport.mDraining && !mReport.mHasLeft;
   }
 
   /** Records that another leader may control the worker, or that its clock or
@@ -144,6 +152,14 @@
     mDoubtedUpToHold = mHoldsSent;
   }
 
+  /** Returns whether a later boot may have taken the order to start a run. Such
+   * a boot counts its ends anew, and must get no acknowledgement meant for this
+   * one. */
+  bool HasUnlocatedRuns() const;
+  /** Ends the tracking of the runs that a later boot may have taken, and
+   * returns them as that boot's runs. */
+  std::map<TaskId, TrackedRun> TakeUnlocatedRuns();
+
   /** Returns the time by which the processed ends must be acknowledged, even if
    * the worker has no further runs. */
   TimePoint AcknowledgeBy() const;
@@ -165,6 +181,11 @@
   /** True once the registration is stored, so that every later leader knows
    * that the worker may have runs. */
   bool mRegistered = false;
+  /** Boot whose registration is stored, or being stored. */
+  WorkerBoot mStoredBoot;
+  /** False until the boot has reported. The report is then that of the boot
+   * before, whose size and labels may differ. */
+  bool mHasReported = true;
   /** Numbers of ends that are processed but not yet stored. */
   std::set<std::uint64_t> mUnstoredEnds;
   /** True once the worker has answered under this leader's fence. Orders of
--- a/Tests/Dispatch/ScriptedLeader.h
+++ b/Tests/Dispatch/ScriptedLeader.h
@@ -139,17 +139,26 @@
     const auto start = OrderRecorder::TakeFirst(mOrders.mStarts);
     start.mDone({ aOutcome, 1000 + mElapsedMs });
   }
+  /** Answers the oldest start order as a boot whose clock began anew. */
+  void AnswerStartByLaterBoot(dispatch::OrderOutcome aOutcome)
+  {
+    const auto start = OrderRecorder::TakeFirst(mOrders.mStarts);
+    start.mDone({ aOutcome, kFirstClock });
+  }
   /** Answers the oldest hold order with lists of runs. */
   void AnswerHold(std::vector<dispatch::ActiveRun> aRunning = {},
                   std::vector<dispatch::EndedRun> aEnded = {})
   {
-    const auto hold = OrderRecorder::TakeFirst(mOrders.mHolds);
-    dispatch::HoldResult result;
-    result.mOutcome = dispatch::OrderOutcome::Done;
-    result.mClock = 1000 + mElapsedMs;
-    result.mRunning = std::move(aRunning);
-    result.mEnded = std::move(aEnded);
-    hold.mDone(result);
+    AnswerHoldAs(0, 1000 + mElapsedMs, std::move(aRunning), std::move(aEnded));
+  }
+  /** Answers the oldest hold order as a boot whose clock began anew.
+   * \param aStartTimeMs start time of the boot */
+  void AnswerHoldByLaterBoot(std::uint64_t aStartTimeMs,
+                             std::vector<dispatch::ActiveRun> aRunning = {},
+                             std::vector<dispatch::EndedRun> aEnded = {})
+  {
+    AnswerHoldAs(
+      aStartTimeMs, kFirstClock, std::move(aRunning), std::move(aEnded));
   }
 
   void Run(Milliseconds aTime)
@@ -182,6 +191,8 @@
   }
 
   static constexpr dispatch::Fence kFence = 2;
+  /** What a boot's clock shows soon after its start. */
+  static constexpr dispatch::WorkerTime kFirstClock = 5;
 
   ManualClock mClock;
   struct : LogSink
@@ -198,6 +209,22 @@
   std::vector<dispatch::RecordSink::Done> mStored;
   dispatch::CallId mLastCall = 0;
   std::int64_t mElapsedMs = 0;
+
+private:
+  void AnswerHoldAs(std::uint64_t aStartTimeMs,
+                    dispatch::WorkerTime aClock,
+                    std::vector<dispatch::ActiveRun> aRunning,
+                    std::vector<dispatch::EndedRun> aEnded)
+  {
+    const auto hold = OrderRecorder::TakeFirst(mOrders.mHolds);
+    dispatch::HoldResult result;
+    result.mOutcome = dispatch::OrderOutcome::Done;
+    result.mClock = aClock;
+    result.mStartTimeMs = aStartTimeMs;
+    result.mRunning = std::move(aRunning);
+    result.mEnded = std::move(aEnded);
+    hold.mDone(result);
+  }
 };
 
 }
--- a/Tests/Dispatch/SimulatedFleet.cxx
+++ b/Tests/Dispatch/SimulatedFleet.cxx
@@ -29,6 +29,14 @@
          std::to_string(aTask.mIndex);
 }
 
+// An order names the worker's id only: a later boot takes it, too.
+bool
+IsMeantFor(const dispatch::OrderTarget& aTarget,
+           const dispatch::WorkerReport& aWorker)
+{
+  return aTarget.mBoot.mId == aWorker.mBoot.mId;
+}
+
 }
 
 SimulatedFleet::SimulatedFleet(ManualClock& aClock, std::uint64_t aSeed)
@@ -76,6 +84,13 @@
   return worker.mReport;
 }
 
+bool
+SimulatedFleet::IsUp(const dispatch::WorkerBoot& aBoot) const
+{
+  const Worker& worker = mWorkers.at(aBoot.mId);
+  return worker.mIsUp && worker.mReport.mBoot == aBoot;
+}
+
 SimulatedFleet::NetworkFaults&
 SimulatedFleet::NetworkFaultsOf(const std::string& aId)
 {
@@ -178,7 +193,7 @@
 OrderOutcome
 SimulatedFleet::CarryOutStart(Worker& aWorker, const StartOrder& aOrder)
 {
-  if (aOrder.mTarget.mBoot != aWorker.mReport.mBoot) {
+  if (!IsMeantFor(aOrder.mTarget, aWorker.mReport)) {
     return OrderOutcome::OtherBoot;
   }
   if (aOrder.mTarget.mFence < aWorker.mFence) {
@@ -226,8 +241,10 @@
   if (late) {
     const milliseconds delay(
       std::uniform_int_distribution<int>(2000, 12'000)(mRandom));
-    After(delay, [this, aOrder] {
-      if (Worker* worker = FindReachable(aOrder.mTarget)) {
+    const dispatch::WorkerBoot receiver = target->mReport.mBoot;
+    After(delay, [this, aOrder, receiver] {
+      Worker* worker = FindReachable(aOrder.mTarget);
+      if (worker != nullptr && worker->mReport.mBoot == receiver) {
         CarryOutStart(*worker, aOrder);
       }
     });
@@ -261,7 +278,7 @@
       return;
     }
     OrderOutcome outcome = OrderOutcome::Done;
-    if (aOrder.mTarget.mBoot != worker->mReport.mBoot) {
+    if (!IsMeantFor(aOrder.mTarget, worker->mReport)) {
       outcome = OrderOutcome::OtherBoot;
     } else if (aOrder.mTarget.mFence < worker->mFence) {
       outcome = OrderOutcome::Fenced;
@@ -310,7 +327,7 @@
     }
     HoldResult refusal;
     refusal.mClock = ClockOf(*worker);
-    if (aOrder.mTarget.mBoot != worker->mReport.mBoot) {
+    if (!IsMeantFor(aOrder.mTarget, worker->mReport)) {
       refusal.mOutcome = OrderOutcome::OtherBoot;
       After(kOneWayDelay, [finish, refusal] { finish(refusal); });
       return;
@@ -483,9 +500,15 @@
     });
     return;
   }
-  mFleet.After(mDelay, [this, aOrder, aTimeout, done = std::move(aDone)] {
-    mFleet.Start(aOrder, aTimeout, done);
-  });
+  const bool isLate = mDelay > aTimeout;
+  mFleet.After(mDelay,
+               [this, aOrder, aTimeout, isLate, done = std::move(aDone)] {
+                 if (isLate && !mFleet.IsUp(aOrder.mTarget.mBoot)) {
+                   mFleet.After(aTimeout, [done] { done({}); });
+                   return;
+                 }
+                 mFleet.Start(aOrder, aTimeout, done);
+               });
 }
 
 void
@@ -505,9 +528,15 @@
     });
     return;
   }
-  mFleet.After(mDelay, [this, aOrder, aTimeout, done = std::move(aDone)] {
-    mFleet.Stop(aOrder, aTimeout, done);
-  });
+  const bool isLate = mDelay > aTimeout;
+  mFleet.After(mDelay,
+               [this, aOrder, aTimeout, isLate, done = std::move(aDone)] {
+                 if (isLate && !mFleet.IsUp(aOrder.mTarget.mBoot)) {
+                   mFleet.After(aTimeout, [done] { done({}); });
+                   return;
+                 }
+                 mFleet.Stop(aOrder, aTimeout, done);
+               });
 }
 
 void
@@ -527,9 +556,15 @@
     });
     return;
   }
-  mFleet.After(mDelay, [this, aOrder, aTimeout, done = std::move(aDone)] {
-    mFleet.Hold(aOrder, aTimeout, done);
-  });
+  const bool isLate = mDelay > aTimeout;
+  mFleet.After(mDelay,
+               [this, aOrder, aTimeout, isLate, done = std::move(aDone)] {
+                 if (isLate && !mFleet.IsUp(aOrder.mTarget.mBoot)) {
+                   mFleet.After(aTimeout, [done] { done({}); });
+                   return;
+                 }
+                 mFleet.Hold(aOrder, aTimeout, done);
+               });
 }
 
 }
--- a/Tests/Dispatch/SimulatedFleet.h
+++ b/Tests/Dispatch/SimulatedFleet.h
@@ -67,6 +67,8 @@
   void Crash(const std::string& aId);
   /** Restarts a worker under its id with a new boot and without any state. */
   dispatch::WorkerReport Restart(const std::string& aId);
+  /** Returns whether this boot of a worker is the current one and up. */
+  bool IsUp(const dispatch::WorkerBoot& aBoot) const;
   NetworkFaults& NetworkFaultsOf(const std::string& aId);
   RunBehavior& RunBehaviorOf(const std::string& aId);
 
@@ -176,7 +178,8 @@
             HoldDone aDone) override;
 
   /** Delay of outgoing orders. Simulates a process that was suspended while
-   * sending them. */
+   * sending them. One that is later than its timeout is not sent on a new
+   * connection, so that it reaches no later boot of the worker. */
   std::chrono::milliseconds mDelay{ 0 };
   /** True once the leader's lease has ended, after which it sends no orders. */
   bool mLeaseEnded = false;
