Dispatch: Lets relayed orders expire when the leader stops waiting

Cause: a relay checked the term of an order and nothing else. What had waited while it was frozen was sent when it woke; a worker that had started again meanwhile has seen no fence, no later run and no clock that the lease refers to.

Change: coordinators tell their clock, which counts suspensions, in their status. An order is dated by the lowest time that the relay's clock can show and expires when the leader stops waiting. The relay looks right before it sends. Those of earlier versions tell no clock, and their orders do not expire.

--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -94,7 +94,9 @@
                   mLeasedCalls,
                   mRelays,
                   [this] { return TermOfLeadership(); })
-  , mOrderRelay(aParts.mRpc,
+  , mOrderRelay(aParts.mClock,
+                aParts.mLog,
+                aParts.mRpc,
                 aParts.mCalls,
                 [this] { return mGroup ? mGroup->CurrentTerm() : 0; })
   , mCoordinator(OptionsOf(aSettings),
@@ -244,6 +246,7 @@
   status.mLeadsLocally = mCoordinator.IsLocal();
   status.mDataCentre = mSettings.mDataCentre;
   status.mRelaysOrders = !mOrderRelay.IsDraining();
+  status.mClock = PeerTimeOf(mClock);
   status.mTerm = mGroup->CurrentTerm();
   status.mLeader = mGroup->Leader().value_or("");
   for (const auto& [peer, seen] : mContactedPeers) {
@@ -564,8 +567,10 @@
   }
   const Clock::Monotonic now = mClock.MonotonicNow();
   mContactedPeers[aFrom] = now;
-  mRelays.Update(
-    aFrom, status.value().mDataCentre, status.value().mRelaysOrders);
+  mRelays.Update(aFrom,
+                 status.value().mDataCentre,
+                 status.value().mRelaysOrders,
+                 status.value().mClock);
   for (const InstanceName& member : status.value().mMembers) {
     mReportedPeers[member] = now;
   }
--- a/Source/Dispatch/JobMessages.h
+++ b/Source/Dispatch/JobMessages.h
@@ -10,6 +10,7 @@
 
 #include "Base/EnumNames.h"
 #include "Dispatch/JobSubmission.h"
+#include "Dispatch/PeerTime.h"
 
 namespace almondspoke::dispatch {
 
@@ -175,6 +176,8 @@
   /** True if the answering coordinator sends orders for a leader (see
    * OrderRelay). */
   bool mRelaysOrders = false;
+  /** Clock of the answering coordinator. */
+  PeerTime mClock = 0;
 
   MSGPACK_DEFINE(mLeads,
                  mTerm,
@@ -182,7 +185,8 @@
                  mMembers,
                  mLeadsLocally,
                  mDataCentre,
-                 mRelaysOrders)
+                 mRelaysOrders,
+                 mClock)
 };
 
 /** \brief Requests the LeaderStatus of a coordinator. */
--- a/Source/Dispatch/OrderMessages.h
+++ b/Source/Dispatch/OrderMessages.h
@@ -5,6 +5,7 @@
 
 #include <msgpack.hpp>
 
+#include "Dispatch/PeerTime.h"
 #include "Dispatch/WorkerCalls.h"
 
 namespace almondspoke::dispatch {
@@ -36,6 +37,9 @@
   std::uint32_t mMaxWaitMs = 0;
   /** Time in milliseconds within which the worker must answer. */
   std::uint32_t mTimeoutMs = 0;
+  /** Time on the relay's clock from which the order must not be sent any more
+   * (see RelayDirectory::ClockOf()); zero for no limit. */
+  PeerTime mExpiresAt = 0;
 
   MSGPACK_DEFINE(mKind,
                  mTerm,
@@ -46,7 +50,8 @@
                  mLeaseEnd,
                  mAcknowledgedEnds,
                  mMaxWaitMs,
-                 mTimeoutMs)
+                 mTimeoutMs,
+                 mExpiresAt)
 };
 
 }
--- a/Source/Dispatch/OrderRelay.cxx
+++ b/Source/Dispatch/OrderRelay.cxx
@@ -1,7 +1,7 @@
 #include "Dispatch/OrderRelay.h"
 
+#include <algorithm>
 #include <array>
-#include <chrono>
 #include <utility>
 
 #include "Base/MessagePack.h"
@@ -14,10 +14,14 @@
 
 }
 
-OrderRelay::OrderRelay(PeerRpc& aRpc,
+OrderRelay::OrderRelay(const Clock& aClock,
+                       EventLog& aLog,
+                       PeerRpc& aRpc,
                        WorkerCalls& aCalls,
                        std::function<Term()> aCurrentTerm)
-  : mRpc(aRpc)
+  : mClock(aClock)
+  , mLog(aLog)
+  , mRpc(aRpc)
   , mCalls(aCalls)
   , mCurrentTerm(std::move(aCurrentTerm))
 {
@@ -56,17 +60,48 @@
                 "unknown kind of order " + std::to_string(kind)));
     return;
   }
-  const Term term = mCurrentTerm();
-  if (order.value().mTerm < term) {
-    aDone(Error(ErrorKind::NotLeader,
-                "order of term " + std::to_string(order.value().mTerm) +
-                  ", the current term is " + std::to_string(term)));
+  const Result<void> check = Check(order.value());
+  if (!check) {
+    aDone(check.error());
     return;
   }
   ++mInFlight;
   (this->*kHandlers[kind])(order.value(), std::move(aDone));
 }
 
+Result<void>
+OrderRelay::Check(const RelayedOrder& aOrder) const
+{
+  const Term term = mCurrentTerm();
+  if (aOrder.mTerm < term) {
+    return Error(ErrorKind::NotLeader,
+                 "order of term " + std::to_string(aOrder.mTerm) +
+                   ", the current term is " + std::to_string(term));
+  }
+  const PeerTime lateMs = PeerTimeOf(mClock) - aOrder.mExpiresAt;
+  if (aOrder.mExpiresAt > 0 && lateMs >= 0) {
+    EventLine(mLog, "order-expired")
+      .With("worker", aOrder.mTarget.mBoot.mId)
+      .With("job", aOrder.mRun.mTask.mJob)
+      .With("run", aOrder.mRun.mNumber)
+      .With("late_ms", lateMs);
+    return Error(ErrorKind::DeadlineExpiredInQueue,
+                 "the order expired " + std::to_string(lateMs) +
+                   " ms before it could be sent");
+  }
+  return Success();
+}
+
+milliseconds
+OrderRelay::TimeoutOf(const RelayedOrder& aOrder) const
+{
+  const milliseconds timeout(aOrder.mTimeoutMs);
+  return aOrder.mExpiresAt > 0
+           ? std::min(timeout,
+                      milliseconds(aOrder.mExpiresAt - PeerTimeOf(mClock)))
+           : timeout;
+}
+
 template<typename Answer>
 std::function<void(const Answer&)>
 OrderRelay::PassOnTo(PeerRpc::Done aDone)
@@ -86,16 +121,15 @@
   order.mPayload = aOrder.mPayload;
   order.mCheckpoint = aOrder.mCheckpoint;
   order.mLeaseEnd = aOrder.mLeaseEnd;
-  mCalls.Start(order,
-               milliseconds(aOrder.mTimeoutMs),
-               PassOnTo<OrderResult>(std::move(aDone)));
+  mCalls.Start(
+    order, TimeoutOf(aOrder), PassOnTo<OrderResult>(std::move(aDone)));
 }
 
 void
 OrderRelay::SendStop(const RelayedOrder& aOrder, PeerRpc::Done aDone)
 {
   mCalls.Stop({ aOrder.mTarget, aOrder.mRun },
-              milliseconds(aOrder.mTimeoutMs),
+              TimeoutOf(aOrder),
               PassOnTo<OrderResult>(std::move(aDone)));
 }
 
@@ -107,9 +141,7 @@
   order.mLeaseEnd = aOrder.mLeaseEnd;
   order.mAcknowledgedEnds = aOrder.mAcknowledgedEnds;
   order.mMaxWait = milliseconds(aOrder.mMaxWaitMs);
-  mCalls.Hold(order,
-              milliseconds(aOrder.mTimeoutMs),
-              PassOnTo<HoldResult>(std::move(aDone)));
+  mCalls.Hold(order, TimeoutOf(aOrder), PassOnTo<HoldResult>(std::move(aDone)));
 }
 
 }
--- a/Source/Dispatch/OrderRelay.h
+++ b/Source/Dispatch/OrderRelay.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <string>
 
+#include "Base/Clock.h"
+#include "Base/EventLog.h"
+#include "Base/Result.h"
 #include "Consensus/ConsensusTypes.h"
 #include "Dispatch/OrderMessages.h"
 #include "Dispatch/WorkerCalls.h"
@@ -14,12 +18,17 @@
 /** \brief Sends orders to workers for the leader (see RelayedWorkerCalls).
  *
  * It decides nothing. It refuses the orders of a leader if it knows of a later
- * term; workers check the fence of each order in any case. */
+ * term, and orders that have waited, for example in a suspended process, until
+ * their leader does not wait for them any more. Workers check the fence of each
+ * order in any case, but a worker that has started again has seen none. */
 class OrderRelay
 {
 public:
-  /** \param aCurrentTerm returns the highest term known to this instance */
-  OrderRelay(PeerRpc& aRpc,
+  /** \param aClock tells the time by which orders expire
+   * \param aCurrentTerm returns the highest term known to this instance */
+  OrderRelay(const Clock& aClock,
+             EventLog& aLog,
+             PeerRpc& aRpc,
              WorkerCalls& aCalls,
              std::function<Term()> aCurrentTerm);
 
@@ -43,6 +52,14 @@
   template<typename Answer>
   std::function<void(const Answer&)> PassOnTo(PeerRpc::Done aDone);
 
+  /** Returns why an order is not sent; success if it is. */
+  Result<void> Check(const RelayedOrder& aOrder) const;
+  /** Returns the time that the worker has to answer: no longer than the leader
+   * waits. */
+  std::chrono::milliseconds TimeoutOf(const RelayedOrder& aOrder) const;
+
+  const Clock& mClock;
+  EventLog& mLog;
   PeerRpc& mRpc;
   WorkerCalls& mCalls;
   const std::function<Term()> mCurrentTerm;
--- a/Source/Dispatch/RelayDirectory.cxx
+++ b/Source/Dispatch/RelayDirectory.cxx
@@ -1,5 +1,6 @@
 #include "Dispatch/RelayDirectory.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace almondspoke::dispatch {
@@ -17,6 +18,9 @@
  * worker or a single message. */
 constexpr unsigned kMaxUnanswered = 4;
 
+/** A reading that is older than this belongs to a clock that began anew. */
+constexpr PeerTime kMaxReadingAgeMs = 10'000;
+
 }
 
 RelayDirectory::RelayDirectory(const Clock& aClock, EventLog& aLog)
@@ -28,7 +32,8 @@
 void
 RelayDirectory::Update(const InstanceName& aPeer,
                        const std::string& aDataCentre,
-                       bool aRelaysOrders)
+                       bool aRelaysOrders,
+                       PeerTime aClock)
 {
   if (!aRelaysOrders) {
     if (mRelays.erase(aPeer) != 0) {
@@ -41,6 +46,7 @@
   const auto [relay, isNew] = mRelays.try_emplace(aPeer);
   relay->second.mDataCentre = aDataCentre;
   relay->second.mValidUntil = mClock.MonotonicNow() + kValidity;
+  ObserveClock(relay->second, aClock);
   if (isNew) {
     EventLine(mLog, "relay-found")
       .With("peer", aPeer)
@@ -48,6 +54,29 @@
   }
 }
 
+// A reading is old when it arrives, so that the highest lead seen is closest to
+// the true one.
+void
+RelayDirectory::ObserveClock(Relay& aRelay, PeerTime aClock) const
+{
+  if (aClock <= 0) {
+    aRelay.mMinClockLead.reset();
+    return;
+  }
+  const PeerTime lead = aClock - PeerTimeOf(mClock);
+  const PeerTime known = aRelay.mMinClockLead.value_or(lead);
+  const bool hasBegunAnew = lead < known - kMaxReadingAgeMs;
+  aRelay.mMinClockLead = hasBegunAnew ? lead : std::max(lead, known);
+}
+
+PeerTime
+RelayDirectory::ClockOf(const InstanceName& aPeer) const
+{
+  const auto relay = mRelays.find(aPeer);
+  const bool isKnown = relay != mRelays.end() && relay->second.mMinClockLead;
+  return isKnown ? PeerTimeOf(mClock) + *relay->second.mMinClockLead : 0;
+}
+
 void
 RelayDirectory::PassOver(const InstanceName& aPeer, const char* aReason)
 {
--- a/Source/Dispatch/RelayDirectory.h
+++ b/Source/Dispatch/RelayDirectory.h
@@ -8,6 +8,7 @@
 #include "Base/Clock.h"
 #include "Base/EventLog.h"
 #include "Base/InstanceIdentity.h"
+#include "Dispatch/PeerTime.h"
 #include "Dispatch/WorkerReport.h"
 
 namespace almondspoke::dispatch {
@@ -24,10 +25,12 @@
 
   RelayDirectory(const Clock& aClock, EventLog& aLog);
 
-  /** Records what a coordinator says about itself. */
+  /** Records what a coordinator says about itself.
+   * \param aClock what its clock showed when it said so */
   void Update(const InstanceName& aPeer,
               const std::string& aDataCentre,
-              bool aRelaysOrders);
+              bool aRelaysOrders,
+              PeerTime aClock);
   /** Passes a relay over for a time.
    * \param aReason what was observed, for the log */
   void PassOver(const InstanceName& aPeer, const char* aReason);
@@ -36,6 +39,10 @@
   void OnAnswered(const InstanceName& aPeer);
   void OnUnanswered(const InstanceName& aPeer);
 
+  /** Returns the lowest value that a relay's clock can show now; zero if it is
+   * not known. */
+  PeerTime ClockOf(const InstanceName& aPeer) const;
+
   /** Returns the relay for a worker, always the same one while the relays of
    * its data centre stay the same; nothing if there is none. */
   std::optional<InstanceName> RelayOf(const std::string& aDataCentre,
@@ -47,6 +54,8 @@
 private:
   struct Relay;
 
+  /** Records a reading of a relay's clock. */
+  void ObserveClock(Relay& aRelay, PeerTime aClock) const;
   template<typename Predicate>
   std::optional<InstanceName> Choose(const WorkerId& aWorker,
                                      Predicate aIsSuitable) const;
@@ -58,6 +67,9 @@
     TimePoint mPassedOverUntil{};
     /** Consecutive orders without an answer. */
     unsigned mUnanswered = 0;
+    /** By how much the relay's clock is at least ahead of this one's; unset if
+     * it has not told its time. */
+    std::optional<PeerTime> mMinClockLead;
   };
 
   const Clock& mClock;
--- a/Source/Dispatch/RelayedWorkerCalls.cxx
+++ b/Source/Dispatch/RelayedWorkerCalls.cxx
@@ -117,6 +117,11 @@
   }
   ++mCounters.mRelayed;
   aOrder.mTerm = *term;
+  // Once this instance has stopped waiting, the relay must not send the order:
+  // the worker may start again, and would take it as one for the new boot.
+  const PeerTime relayTime = mRelays.ClockOf(*relay);
+  aOrder.mExpiresAt =
+    relayTime > 0 ? relayTime + (aTimeout + kRelayMargin).count() : 0;
   mRpc.Call(*relay,
             kRelayMethod,
             PackMessage(aOrder),
@@ -144,6 +149,13 @@
     return;
   }
   const ErrorKind kind = aAnswer.error().Kind();
+  if (kind == ErrorKind::DeadlineExpiredInQueue) {
+    // The relay was too slow and has not sent the order.
+    mRelays.OnUnanswered(aRelay);
+    ++mCounters.mFallbacks;
+    aSendDirectly();
+    return;
+  }
   if (kind == ErrorKind::PeerUnreachable || kind == ErrorKind::Draining) {
     mRelays.PassOver(aRelay,
                      kind == ErrorKind::Draining ? "draining" : "unreachable");
--- a/Tests/Dispatch/OrderRelayTest.cxx
+++ b/Tests/Dispatch/OrderRelayTest.cxx
@@ -31,11 +31,25 @@
              mLeased,
              mRelays,
              [this] { return mLeadingTerm; })
-    , mRelay(mRelayRpc, mRelayed, [this] { return mRelayTerm; })
+    , mRelay(mRelayClock, mLog, mRelayRpc, mRelayed, [this] {
+      return mRelayTerm;
+    })
   {
+    mRelayClock.Advance(std::chrono::minutes(5));
     mRelay.Register();
     mLeaderRpc.mPeers["relay"] = &mRelayRpc;
-    mRelays.Update("relay", "zagreb", true);
+    SayThatItRelays();
+  }
+
+  /** Lets the relay tell the leader that it is one, and its time. */
+  void SayThatItRelays()
+  {
+    mRelays.Update("relay", "zagreb", true, PeerTimeOf(mRelayClock));
+  }
+  void Advance(std::chrono::microseconds aTime)
+  {
+    mClock.Advance(aTime);
+    mRelayClock.Advance(aTime);
   }
 
   StartOrder Order() const
@@ -58,6 +72,8 @@
   }
 
   ManualClock mClock;
+  /** Runs beside the leader's one, with another time. */
+  ManualClock mRelayClock;
   struct : LogSink
   {
     std::size_t Write(std::string_view aBytes) override
@@ -180,9 +196,7 @@
       1,
       {} },
     { "relay that says no more that it is one",
-      [](RelayFixture& aFixture) {
-        aFixture.mClock.Advance(milliseconds(2600));
-      },
+      [](RelayFixture& aFixture) { aFixture.Advance(milliseconds(2600)); },
       0,
       1,
       {} },
@@ -233,8 +247,8 @@
   fixture.Start();
   CHECK(fixture.mDirect.mStarts.size() == 1);
   CHECK(fixture.mRelayed.mStarts.empty());
-  fixture.mClock.Advance(milliseconds(2100));
-  fixture.mRelays.Update("relay", "zagreb", true);
+  fixture.Advance(milliseconds(2100));
+  fixture.SayThatItRelays();
   fixture.Start();
   CHECK(fixture.mRelayed.mStarts.size() == 1);
 }
@@ -283,8 +297,8 @@
   fixture.mDataCentre = "sisak";
   const auto sendMany = [&](int aOrders) {
     for (int i = 0; i < aOrders; ++i) {
-      fixture.mClock.Advance(std::chrono::microseconds(200));
-      fixture.mRelays.Update("relay", "zagreb", true);
+      fixture.Advance(std::chrono::microseconds(200));
+      fixture.SayThatItRelays();
       fixture.Start();
     }
   };
@@ -293,12 +307,40 @@
   sendMany(2 * kManyOrders);
   CHECK(fixture.mRelayed.mStarts.size() >= kManyOrders);
   // Few orders go directly again.
-  fixture.mClock.Advance(milliseconds(500));
+  fixture.Advance(milliseconds(500));
   fixture.Start();
   fixture.mRelayed.mStarts.clear();
-  fixture.mClock.Advance(milliseconds(500));
-  fixture.mRelays.Update("relay", "zagreb", true);
+  fixture.Advance(milliseconds(500));
+  fixture.SayThatItRelays();
   fixture.Start();
   fixture.Start();
   CHECK(fixture.mRelayed.mStarts.size() <= 1);
 }
+
+// Guards against a start after the task's end was noted: a relay that stood
+// still sent an order after seconds, and a worker that had started again
+// meanwhile carried it out.
+TEST_CASE("Order relay: an order that has waited longer than its leader does "
+          "is not sent")
+{
+  RelayFixture fixture;
+  fixture.mLeaderRpc.mHold = true;
+  fixture.Start();
+  REQUIRE_FALSE(fixture.mLeaderRpc.mHeldRequest.empty());
+  fixture.Advance(milliseconds(7000));
+  std::optional<ErrorKind> refusal;
+  fixture.mRelayRpc.mHandlers.at(kRelayMethod)(
+    "leader",
+    fixture.mLeaderRpc.mHeldRequest,
+    [&](const Result<std::string>& aAnswer) {
+      REQUIRE_FALSE(aAnswer);
+      refusal = aAnswer.error().Kind();
+    });
+  CHECK(refusal == ErrorKind::DeadlineExpiredInQueue);
+  CHECK(fixture.mRelayed.mStarts.empty());
+  CHECK(fixture.mRelay.OrdersInFlight() == 0);
+  // The leader sends it itself, as one that certainly was not sent.
+  fixture.mLeaderRpc.mHeld(Error(*refusal, "expired"));
+  fixture.mContext.poll();
+  CHECK(fixture.mDirect.mStarts.size() == 1);
+}
--- a/Tests/Support/FakePeerRpc.h
+++ b/Tests/Support/FakePeerRpc.h
@@ -10,7 +10,7 @@
 
 /** \brief A PeerRpc that calls the handlers of other FakePeerRpc objects
  * synchronously. While mHold is set, a call is not delivered and its callback
- * is kept in mHeld. */
+ * and request are kept in mHeld and mHeldRequest. */
 class FakePeerRpc : public PeerRpc
 {
 public:
@@ -23,6 +23,7 @@
     ++mCalls;
     if (mHold) {
       mHeld = std::move(aDone);
+      mHeldRequest = std::move(aRequest);
       return;
     }
     const auto named = mPeers.find(aTo);
@@ -44,6 +45,7 @@
   std::map<InstanceName, FakePeerRpc*> mPeers;
   bool mHold = false;
   Done mHeld;
+  std::string mHeldRequest;
   int mCalls = 0;
   std::map<std::string, Handler> mHandlers;
 };
