Dispatch: Lets no jobs that cannot run stop the others

Cause: a pass began at the head of the queue and ended after 40 jobs in a row without a worker. Stored jobs wait without limit, so that the same 40 stood there each time. Their work counted as ahead of every new job.

Ruled out: workers set aside, overload, a lost lease: none of their lines is in the log. No loss is needed: a busy worker with a rare label, or tasks that need more than any worker has, do the same.

Change: waiting jobs are listed by placement class (pool and labels). A pass takes all classes in the order of urgency and leaves a class, not the queue, after 40 in a row. Each tick also tries eight jobs in turn wherever they stand. Only the work of a job's own class, and that without a label, counts as ahead.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -136,6 +136,7 @@
   mTimers.Clear();
   mWorkers.clear();
   mReady.Clear();
+  mLastTriedInTurn = {};
   mJobs.clear();
   mJobExpiries.clear();
   mUnmatchedEnds.clear();
@@ -263,6 +264,7 @@
   job->mSubmission = aSubmission;
   job->mIsStored = !aSubmission.mBestEffort;
   job->mQueue = aQueue;
+  job->mClass = PlacementClassOf(aQueue.mPool, aSubmission.mSteps);
   job->mArrivalNumber = mNextArrivalNumber;
   job->mArrivedAt = mClock.MonotonicNow();
   job->mExpectedDuration = CriticalPathDuration(aSubmission);
@@ -490,6 +492,7 @@
   StopUnclaimedOrphans(now);
   mIndex.ReadmitAll(now);
   Schedule();
+  ScheduleInTurn();
   EnforceQueueTimeLimits(now);
   RemoveExpired(now);
   FlushRecords();
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -208,6 +209,11 @@
     TimePoint mAt;
   };
 
+  /** Pool and required label of a task; the texts are those of its job. */
+  using WorkerKind = std::pair<std::string_view, std::string_view>;
+  /** Resources of a task for which no worker was found in a pass. */
+  using UnplacedNeeds = std::map<WorkerKind, Resources>;
+
   // Requests from callers (Coordinator.cxx).
   void Submit(CallId aCall, const JobCall& aRequest, const QueueMatch& aMatch);
   void Query(CallId aCall, const JobCall& aRequest, const QueueMatch& aMatch);
@@ -253,9 +259,14 @@
   void AbandonWaitingTasks(DispatchJob& aJob);
   void StopRunsOf(const DispatchJob& aJob);
   void ClaimOrphans(DispatchJob& aJob);
+  bool MaySchedule() const;
+  /** Starts what waits and finds a worker, in the order of urgency. */
   void Schedule();
-  void ScheduleJob(DispatchJob& aJob,
-                   std::map<PoolName, Resources>& aUnplacedNeeds);
+  /** Tries some jobs regardless of those before them, so that each job is tried
+   * now and then however many others wait. */
+  void ScheduleInTurn();
+  /** Returns whether a task of the job has found a worker. */
+  bool ScheduleJob(DispatchJob& aJob, UnplacedNeeds& aUnplaced);
   void EnforceQueueTimeLimits(TimePoint aNow);
   void ExpireAt(const DispatchJob& aJob, TimePoint aAt);
   void RemoveExpired(TimePoint aNow);
@@ -390,6 +401,8 @@
   std::uint64_t mNextSessionNumber = 1;
   std::unordered_map<JobId, JobPtr> mJobs;
   ReadyQueue mReady;
+  /** The job that ScheduleInTurn() has tried last. */
+  SchedulingKey mLastTriedInTurn;
   /** Jobs that may be removed, by the earliest time. */
   std::set<std::pair<TimePoint, JobId>> mJobExpiries;
   std::map<TaskId, UnmatchedEnd> mUnmatchedEnds;
--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "Dispatch/SchedulingPass.h"
+
 namespace almondspoke::dispatch {
 
 namespace {
@@ -16,9 +18,9 @@
 
 constexpr milliseconds kCleanupInterval{ 1000 };
 
-/** Scheduling stops after this many consecutive jobs for which no worker was
- * found. */
-constexpr std::size_t kMaxUnplacedJobsPerPass = 40;
+/** Number of jobs that are tried in each tick wherever they stand in the queue.
+ */
+constexpr std::size_t kJobsTriedInTurn = 8;
 
 std::int64_t
 MillisecondsBetween(Clock::Monotonic aFrom, Clock::Monotonic aTo)
@@ -218,50 +220,72 @@
   }
 }
 
+bool
+Coordinator::MaySchedule() const
+{
+  // Without the lease, an order would only put its worker in doubt.
+  return mRecoveryComplete && !mReady.IsEmpty() && mCalls.MaySend();
+}
+
 void
 Coordinator::Schedule()
 {
-  // Without the lease, an order would only put its worker in doubt.
-  if (!mRecoveryComplete || mReady.IsEmpty() || !mCalls.MaySend()) {
+  if (!MaySchedule()) {
     return;
   }
-  std::map<PoolName, Resources> unplacedNeeds;
-  std::size_t unplacedJobs = 0;
+  UnplacedNeeds unplaced;
+  SchedulingPass pass(mReady);
+  while (DispatchJob* job = pass.Next()) {
+    pass.OnScheduled(ScheduleJob(*job, unplaced));
+  }
+}
+
+// A pass ends before jobs that stand behind many others which no worker can
+// run, for example since they need more than any worker has.
+void
+Coordinator::ScheduleInTurn()
+{
+  if (!MaySchedule()) {
+    return;
+  }
+  UnplacedNeeds unplaced;
   const ReadyQueue::Jobs& jobs = mReady.InOrder();
-  for (auto entry = jobs.begin();
-       entry != jobs.end() && unplacedJobs < kMaxUnplacedJobsPerPass;) {
+  auto entry = jobs.upper_bound(mLastTriedInTurn);
+  for (std::size_t tried = 0; tried < kJobsTriedInTurn && entry != jobs.end();
+       ++tried) {
+    mLastTriedInTurn = entry->first;
     DispatchJob& job = *entry->second;
     // Advance first: scheduling a job may erase its own entry, but no other.
     ++entry;
-    const std::size_t assignedBefore = job.mAssignedTaskCount;
-    ScheduleJob(job, unplacedNeeds);
-    unplacedJobs =
-      job.mAssignedTaskCount > assignedBefore ? 0 : unplacedJobs + 1;
+    ScheduleJob(job, unplaced);
+  }
+  if (entry == jobs.end()) {
+    mLastTriedInTurn = {};
   }
 }
 
-void
-Coordinator::ScheduleJob(DispatchJob& aJob,
-                         std::map<PoolName, Resources>& aUnplacedNeeds)
+bool
+Coordinator::ScheduleJob(DispatchJob& aJob, UnplacedNeeds& aUnplaced)
 {
   const TimePoint now = mClock.MonotonicNow();
+  const std::size_t assignedBefore = aJob.mAssignedTaskCount;
   for (std::uint32_t step = 0; step < aJob.mSteps.size(); ++step) {
     const StepSpec& spec = aJob.mSubmission.mSteps[step];
+    const WorkerKind kind{ aJob.mQueue.mPool, spec.mRequiredLabel };
     for (std::uint32_t index = 0; index < aJob.mSteps[step].size(); ++index) {
       if (aJob.mSteps[step][index].mPhase != TaskPhase::Ready) {
         continue;
       }
       // Skip tasks that need at least as much as one that did not fit before.
-      const auto unplaced = aUnplacedNeeds.find(aJob.mQueue.mPool);
-      if (unplaced != aUnplacedNeeds.end() &&
-          unplaced->second.FitsInto(spec.mNeeds)) {
+      const auto found = aUnplaced.find(kind);
+      if (found != aUnplaced.end() && found->second.FitsInto(spec.mNeeds)) {
         break;
       }
       const TaskId task{ aJob.mSubmission.mId, 0, step, index };
       WorkerSession* worker = mIndex.Choose(aJob, task, now);
       if (worker == nullptr) {
-        if (spec.mRequiredLabel.empty() && spec.mMaxPerWorker == 0) {
-          aUnplacedNeeds[aJob.mQueue.mPool] = spec.mNeeds;
+        if (spec.mMaxPerWorker == 0) {
+          aUnplaced[kind] = spec.mNeeds;
         }
         break;
       }
@@ -269,6 +293,7 @@
     }
   }
   mReady.Update(aJob);
+  return aJob.mAssignedTaskCount > assignedBefore;
 }
 
 void
--- a/Source/Dispatch/DispatchJob.cxx
+++ b/Source/Dispatch/DispatchJob.cxx
@@ -1,5 +1,7 @@
 #include "Dispatch/DispatchJob.h"
 
+#include <set>
+
 namespace almondspoke::dispatch {
 
 namespace {
@@ -12,6 +14,18 @@
 
 }
 
+PlacementClass
+PlacementClassOf(const PoolName& aPool, const std::vector<StepSpec>& aSteps)
+{
+  std::set<std::string> labels;
+  for (const StepSpec& step : aSteps) {
+    if (!step.mRequiredLabel.empty()) {
+      labels.insert(step.mRequiredLabel);
+    }
+  }
+  return { aPool, { labels.begin(), labels.end() } };
+}
+
 std::uint64_t
 DispatchJob::WaitingWork() const
 {
--- a/Source/Dispatch/DispatchJob.h
+++ b/Source/Dispatch/DispatchJob.h
@@ -45,6 +45,24 @@
   std::uint32_t mStragglerCount = 0;
 };
 
+/** \brief What decides which workers may run a job: jobs of different classes
+ * wait for different workers. */
+struct PlacementClass
+{
+  PoolName mPool;
+  /** Labels that the steps require, sorted. */
+  std::vector<std::string> mLabels;
+
+  bool operator<(const PlacementClass& aOther) const
+  {
+    return std::tie(mPool, mLabels) < std::tie(aOther.mPool, aOther.mLabels);
+  }
+};
+
+/** Returns the class of the jobs with the steps of a submission. */
+PlacementClass
+PlacementClassOf(const PoolName& aPool, const std::vector<StepSpec>& aSteps);
+
 /** \brief A job known to the leader, with its tasks and waiting calls. */
 struct DispatchJob
 {
@@ -53,6 +71,7 @@
   JobSubmission mSubmission;
   /** The queue's settings at the time at which the job arrived. */
   Queue mQueue;
+  PlacementClass mClass;
   std::uint64_t mArrivalNumber = 0;
   TimePoint mArrivedAt{};
   /** Expected duration of the critical path of steps. */
--- a/Source/Dispatch/ReadyQueue.cxx
+++ b/Source/Dispatch/ReadyQueue.cxx
@@ -1,6 +1,7 @@
 #include "Dispatch/ReadyQueue.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace almondspoke::dispatch {
 
@@ -38,10 +39,11 @@
     return;
   }
   const bool isNew = mJobs.emplace(SchedulingKeyOf(aJob), &aJob).second;
-  Count(aJob, aJob.WaitingWork());
   if (isNew) {
+    List(aJob);
     ArmLimit(aJob);
   }
+  Count(mClasses[aJob.mClass], aJob, aJob.WaitingWork());
 }
 
 void
@@ -50,7 +52,8 @@
   if (mJobs.erase(SchedulingKeyOf(aJob)) == 0) {
     return;
   }
-  Count(aJob, 0);
+  Count(mClasses[aJob.mClass], aJob, 0);
+  Unlist(aJob);
   DisarmLimit(aJob);
 }
 
@@ -58,21 +61,51 @@
 ReadyQueue::Clear()
 {
   mJobs.clear();
-  mWork.clear();
-  mTotalWork = 0;
+  mClasses.clear();
+  mClassesInOrder.clear();
   mByLimit.clear();
 }
 
 void
-ReadyQueue::Count(DispatchJob& aJob, std::uint64_t aWork)
+ReadyQueue::List(DispatchJob& aJob)
 {
-  PriorityWork& priority = mWork[aJob.mQueue.mPriority];
+  Jobs& jobs = mClasses[aJob.mClass].mJobs;
+  const SchedulingKey key = SchedulingKeyOf(aJob);
+  const auto added = jobs.emplace(key, &aJob).first;
+  if (added != jobs.begin()) {
+    return;
+  }
+  if (const auto second = std::next(added); second != jobs.end()) {
+    mClassesInOrder.erase(second->first);
+  }
+  mClassesInOrder.emplace(key, &jobs);
+}
+
+void
+ReadyQueue::Unlist(const DispatchJob& aJob)
+{
+  const auto entry = mClasses.find(aJob.mClass);
+  Jobs& jobs = entry->second.mJobs;
+  const SchedulingKey key = SchedulingKeyOf(aJob);
+  jobs.erase(key);
+  const bool wasFirst = mClassesInOrder.erase(key) != 0;
+  if (jobs.empty()) {
+    mClasses.erase(entry);
+  } else if (wasFirst) {
+    mClassesInOrder.emplace(jobs.begin()->first, &jobs);
+  }
+}
+
+void
+ReadyQueue::Count(ClassQueue& aQueue, DispatchJob& aJob, std::uint64_t aWork)
+{
+  PriorityWork& priority = aQueue.mWork[aJob.mQueue.mPriority];
   const auto range =
     priority.mByDueTime.try_emplace(RangeStart(aJob.mDueAt)).first;
   const std::uint64_t counted = aJob.mCountedWork;
   range->second = range->second - counted + aWork;
   priority.mTotal = priority.mTotal - counted + aWork;
-  mTotalWork = mTotalWork - counted + aWork;
+  aQueue.mTotalWork = aQueue.mTotalWork - counted + aWork;
   aJob.mCountedWork = aWork;
   if (range->second == 0) {
     priority.mByDueTime.erase(range);
@@ -80,17 +113,17 @@
 }
 
 std::uint64_t
-ReadyQueue::WorkBefore(const SchedulingKey& aKey) const
+ReadyQueue::WorkBefore(const ClassQueue& aQueue, const SchedulingKey& aKey)
 {
   std::uint64_t before = 0;
-  for (const auto& [priority, work] : mWork) {
+  for (const auto& [priority, work] : aQueue.mWork) {
     if (priority >= aKey.mPriority) {
       break;
     }
     before += work.mTotal;
   }
-  const auto same = mWork.find(aKey.mPriority);
-  if (same == mWork.end()) {
+  const auto same = aQueue.mWork.find(aKey.mPriority);
+  if (same == aQueue.mWork.end()) {
     return before;
   }
   const TimePoint range = RangeStart(aKey.mDueAt);
@@ -101,19 +134,37 @@
     before += work;
   }
   // Only the jobs in the range of the job itself are counted one by one.
-  auto job = mJobs.lower_bound({ aKey.mPriority, range, 0 });
-  for (; job != mJobs.end() && job->first < aKey; ++job) {
+  auto job = aQueue.mJobs.lower_bound({ aKey.mPriority, range, 0 });
+  for (; job != aQueue.mJobs.end() && job->first < aKey; ++job) {
     before += job->second->mCountedWork;
   }
   return before;
 }
 
+void
+ReadyQueue::AddBacklog(const PlacementClass& aClass,
+                       const SchedulingKey& aKey,
+                       Backlog& aBacklog) const
+{
+  const auto entry = mClasses.find(aClass);
+  if (entry == mClasses.end()) {
+    return;
+  }
+  aBacklog.mCoreMsWaiting += CoreMilliseconds(entry->second.mTotalWork);
+  aBacklog.mCoreMsAhead += CoreMilliseconds(WorkBefore(entry->second, aKey));
+}
+
+// Work that requires other labels waits for other workers. Work without a label
+// may use the workers that a job with a label waits for.
 Backlog
 ReadyQueue::BacklogBefore(const DispatchJob& aJob) const
 {
   Backlog backlog;
-  backlog.mCoreMsWaiting = CoreMilliseconds(mTotalWork);
-  backlog.mCoreMsAhead = CoreMilliseconds(WorkBefore(SchedulingKeyOf(aJob)));
+  const SchedulingKey key = SchedulingKeyOf(aJob);
+  AddBacklog(aJob.mClass, key, backlog);
+  if (!aJob.mClass.mLabels.empty()) {
+    AddBacklog({ aJob.mClass.mPool, {} }, key, backlog);
+  }
   return backlog;
 }
 
--- a/Source/Dispatch/ReadyQueue.h
+++ b/Source/Dispatch/ReadyQueue.h
@@ -15,12 +15,15 @@
  *
  * Keeps running sums of the waiting work, so that the work before a job is
  * known without a walk over the queue, and orders the jobs by the time up to
- * which they may wait. */
+ * which they may wait. Jobs are also listed by their placement class, since
+ * those of one class may wait while those of another can run. */
 class ReadyQueue
 {
 public:
   using TimePoint = Clock::Monotonic;
   using Jobs = std::map<SchedulingKey, DispatchJob*>;
+  /** The first jobs of the classes, with all jobs of the class. */
+  using ClassesInOrder = std::map<SchedulingKey, const Jobs*>;
 
   /** Adds or removes a job according to its state, and counts its work anew.
    * Must be called after each change of the state. */
@@ -31,9 +34,11 @@
 
   bool IsEmpty() const { return mJobs.empty(); }
   const Jobs& InOrder() const { return mJobs; }
+  const ClassesInOrder& ClassesByFirstJob() const { return mClassesInOrder; }
 
-  /** Returns the work that waits, and the part of it that is scheduled before a
-   * job, in core-milliseconds. The usable cores are not set. */
+  /** Returns the work that waits for workers that may run a job, and the part
+   * of it that is scheduled before the job, in core-milliseconds. The usable
+   * cores are not set. */
   Backlog BacklogBefore(const DispatchJob& aJob) const;
 
   /** Returns the jobs that have waited for longer than they may, each once per
@@ -50,14 +55,28 @@
     std::map<TimePoint, std::uint64_t> mByDueTime;
   };
 
-  void Count(DispatchJob& aJob, std::uint64_t aWork);
+  /** \brief The waiting jobs of one class, and their work by priority. */
+  struct ClassQueue
+  {
+    Jobs mJobs;
+    std::map<std::uint32_t, PriorityWork> mWork;
+    std::uint64_t mTotalWork = 0;
+  };
+
+  void List(DispatchJob& aJob);
+  void Unlist(const DispatchJob& aJob);
+  static void Count(ClassQueue& aQueue, DispatchJob& aJob, std::uint64_t aWork);
   void ArmLimit(DispatchJob& aJob);
   void DisarmLimit(DispatchJob& aJob);
-  std::uint64_t WorkBefore(const SchedulingKey& aKey) const;
+  void AddBacklog(const PlacementClass& aClass,
+                  const SchedulingKey& aKey,
+                  Backlog& aBacklog) const;
+  static std::uint64_t WorkBefore(const ClassQueue& aQueue,
+                                  const SchedulingKey& aKey);
 
   Jobs mJobs;
-  std::map<std::uint32_t, PriorityWork> mWork;
-  std::uint64_t mTotalWork = 0;
+  std::map<PlacementClass, ClassQueue> mClasses;
+  ClassesInOrder mClassesInOrder;
   /** By the end of the time that a job may wait, and its arrival number. */
   std::map<std::pair<TimePoint, std::uint64_t>, DispatchJob*> mByLimit;
 };
