Dispatch: Counts no work as ahead that no worker is large enough for

Cause: the work of all waiting jobs without a label counted as ahead of a new one, whether any worker could ever run it or not.

Change: the placement class also tells whether a step needs more than any worker of the pool has. Jobs are classed again when the largest workers come or go, which walks over all jobs; no walk otherwise.

When the large worker is back, its jobs run.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -265,6 +265,7 @@
   job->mIsStored = !aSubmission.mBestEffort;
   job->mQueue = aQueue;
   job->mClass = PlacementClassOf(aQueue.mPool, aSubmission.mSteps);
+  job->mClass.mIsTooLarge = IsTooLarge(*job);
   job->mArrivalNumber = mNextArrivalNumber;
   job->mArrivedAt = mClock.MonotonicNow();
   job->mExpectedDuration = CriticalPathDuration(aSubmission);
@@ -491,6 +492,7 @@
   TryFinishRecovery(now);
   StopUnclaimedOrphans(now);
   mIndex.ReadmitAll(now);
+  ClassifyJobsAgain();
   Schedule();
   ScheduleInTurn();
   EnforceQueueTimeLimits(now);
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -259,6 +259,10 @@
   void AbandonWaitingTasks(DispatchJob& aJob);
   void StopRunsOf(const DispatchJob& aJob);
   void ClaimOrphans(DispatchJob& aJob);
+  /** Returns whether a step of a job needs more than any worker has. */
+  bool IsTooLarge(const DispatchJob& aJob) const;
+  /** Classifies the jobs again if the largest workers have changed. */
+  void ClassifyJobsAgain();
   bool MaySchedule() const;
   /** Starts what waits and finds a worker, in the order of urgency. */
   void Schedule();
@@ -401,6 +405,8 @@
   std::uint64_t mNextSessionNumber = 1;
   std::unordered_map<JobId, JobPtr> mJobs;
   ReadyQueue mReady;
+  /** Version of the workers' capacity by which the jobs are classified. */
+  std::uint64_t mClassifiedCapacity = 0;
   /** The job that ScheduleInTurn() has tried last. */
   SchedulingKey mLastTriedInTurn;
   /** Jobs that may be removed, by the earliest time. */
--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -220,6 +220,33 @@
   }
 }
 
+bool
+Coordinator::IsTooLarge(const DispatchJob& aJob) const
+{
+  const std::vector<StepSpec>& steps = aJob.mSubmission.mSteps;
+  return std::any_of(steps.begin(), steps.end(), [&](const StepSpec& aStep) {
+    return mIndex.IsTooLarge(aJob.mQueue.mPool, aStep.mNeeds);
+  });
+}
+
+void
+Coordinator::ClassifyJobsAgain()
+{
+  if (mClassifiedCapacity == mIndex.CapacityVersion()) {
+    return;
+  }
+  mClassifiedCapacity = mIndex.CapacityVersion();
+  for (const auto& [id, job] : mJobs) {
+    const bool isTooLarge = IsTooLarge(*job);
+    if (job->HasEnded() || job->mClass.mIsTooLarge == isTooLarge) {
+      continue;
+    }
+    mReady.Remove(*job);
+    job->mClass.mIsTooLarge = isTooLarge;
+    mReady.Update(*job);
+  }
+}
+
 bool
 Coordinator::MaySchedule() const
 {
--- a/Source/Dispatch/DispatchJob.h
+++ b/Source/Dispatch/DispatchJob.h
@@ -52,14 +52,17 @@
   PoolName mPool;
   /** Labels that the steps require, sorted. */
   std::vector<std::string> mLabels;
+  /** True if a step needs more than any worker of the pool has. */
+  bool mIsTooLarge = false;
 
   bool operator<(const PlacementClass& aOther) const
   {
-    return std::tie(mPool, mLabels) < std::tie(aOther.mPool, aOther.mLabels);
+    return std::tie(mPool, mLabels, mIsTooLarge) <
+           std::tie(aOther.mPool, aOther.mLabels, aOther.mIsTooLarge);
   }
 };
 
-/** Returns the class of the jobs with the steps of a submission. */
+/** Returns the class of jobs with these steps, all of them small enough. */
 PlacementClass
 PlacementClassOf(const PoolName& aPool, const std::vector<StepSpec>& aSteps);
 
--- a/Source/Dispatch/WorkerIndex.cxx
+++ b/Source/Dispatch/WorkerIndex.cxx
@@ -70,6 +70,9 @@
   for (const std::string& label : aWorker.Report().mLabels) {
     ++pool.mLabelCounts[label];
   }
+  if (pool.mCapacity.Add(aWorker.Report().mCapacity)) {
+    ++mCapacityVersion;
+  }
   List(aWorker);
 }
 
@@ -86,11 +89,22 @@
       pool.mByLabel.erase(label);
     }
   }
+  if (pool.mCapacity.Remove(aWorker.Report().mCapacity)) {
+    ++mCapacityVersion;
+  }
+}
+
+bool
+WorkerIndex::IsTooLarge(const PoolName& aPool, const Resources& aNeeds) const
+{
+  const auto pool = mPools.find(aPool);
+  return pool != mPools.end() && pool->second.mCapacity.IsExceededBy(aNeeds);
 }
 
 void
 WorkerIndex::Clear()
 {
+  ++mCapacityVersion;
   mPools.clear();
   mAside.clear();
 }
--- a/Source/Dispatch/WorkerIndex.h
+++ b/Source/Dispatch/WorkerIndex.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "Dispatch/DispatchJob.h"
+#include "Dispatch/LargestCapacity.h"
 #include "Dispatch/WorkerSession.h"
 
 namespace almondspoke::dispatch {
@@ -46,6 +47,12 @@
                         const TaskId& aTask,
                         TimePoint aNow);
 
+  /** Returns whether a task needs more than any worker of a pool has, busy or
+   * not; false if the pool has no workers. */
+  bool IsTooLarge(const PoolName& aPool, const Resources& aNeeds) const;
+  /** Returns a number that changes whenever IsTooLarge() may have changed. */
+  std::uint64_t CapacityVersion() const { return mCapacityVersion; }
+
   /** Returns whether a worker's place in the lists depends on what differs
    * between two of its reports. */
   static bool AffectsOrder(const WorkerReport& aKnown,
@@ -70,6 +77,7 @@
     Listing mAll;
     std::unordered_map<std::string, Listing> mByLabel;
     std::unordered_map<std::string, std::size_t> mLabelCounts;
+    LargestCapacity mCapacity;
   };
 
   /** \brief A search for the worker of one task. */
@@ -93,6 +101,7 @@
   std::map<PoolName, PoolListings> mPools;
   /** Workers that cannot take runs, by number. */
   std::map<std::uint64_t, WorkerSession*> mAside;
+  std::uint64_t mCapacityVersion = 0;
 };
 
 }
--- a/Tests/Dispatch/SchedulingTest.cxx
+++ b/Tests/Dispatch/SchedulingTest.cxx
@@ -143,3 +143,41 @@
   CHECK(fixture.mFleet.StartsOf("urgent") == 1);
   CHECK(fixture.mFleet.StartsOf("patient") == 0);
 }
+
+// Guards against refusals beside idle workers: work that no worker is large
+// enough for counted as work before each new job.
+TEST_CASE("Scheduling: work that no worker is large enough for refuses no new "
+          "job")
+{
+  DispatchFixture fixture;
+  fixture.AddWorkers(3, kWorkerCores);
+  fixture.AddWorkers(1, 48'000);
+  fixture.StartLeader();
+  fixture.Run(milliseconds(100));
+  const bool isLargeWorkerLost = GENERATE(true, false);
+  const std::uint32_t cores = isLargeWorkerLost ? 40'000 : 50'000;
+  const WorkerReport large = fixture.mReports.back();
+  if (isLargeWorkerLost) {
+    fixture.mFleet.Crash(large.mBoot.mId);
+    fixture.mReports.pop_back();
+  }
+  for (int i = 0; i < kStuckJobs; ++i) {
+    fixture.Submit(
+      fixture.CallOf("urgent", "stuck-" + std::to_string(i), 4, cores, true));
+  }
+  fixture.Run(milliseconds(15'000));
+  const auto submitPlain = [&](const std::string& aId) {
+    const CallId call =
+      fixture.Submit(fixture.CallOf("patient", aId, 1, 1000, false));
+    fixture.Run(milliseconds(200));
+    REQUIRE(fixture.ReplyTo(call));
+    return fixture.ReplyTo(call)->mKind;
+  };
+  CHECK(submitPlain("plain") == JobReplyKind::Accepted);
+  if (isLargeWorkerLost) {
+    fixture.mReports.push_back(fixture.mFleet.Restart(large.mBoot.mId));
+    fixture.Run(milliseconds(2000));
+    CHECK(fixture.mFleet.StartsOf("stuck-0") == 4);
+  }
+  CHECK(fixture.mFleet.Errors().empty());
+}
