Dispatch: Reads a worker's ends to the last before it counts a run as lost

Cause: a worker lists 500 ends at a time and the others once these are acknowledged. The leader took one answer for the whole lists.

Ruled out: lost or unstored ends, the wait for leases.

Change: an answer says whether the list of ends may go on. A worker is read once a list under the leader's fence ends; recovery waits for that, and a part of a list shows no run as lost, of the same leader neither. Ends are acknowledged once they are stored, and the next part is asked for at once.

--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -358,6 +358,8 @@
                       std::uint64_t aHold,
                       bool aUrgent,
                       const HoldResult& aResult);
+  /** Asks for the lists again if there can be more in them. */
+  void ReadOn(WorkerSession& aWorker);
   void OnUnanswered(WorkerSession& aWorker);
   void ProcessEnds(WorkerSession& aWorker, const std::vector<EndedRun>& aEnds);
   void ProcessEnd(WorkerSession& aWorker, const EndedRun& aEnd);
--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -38,8 +38,11 @@
 {
   const bool hasOverdueAcknowledgement =
     aWorker.HasUnacknowledgedEnds() && aNow >= aWorker.AcknowledgeBy();
+  const bool hasFurtherEnds =
+    !aWorker.mAreListsRead && aWorker.HasUnacknowledgedEnds();
   return !aWorker.mFenceAccepted || !aWorker.Runs().empty() ||
-         hasOverdueAcknowledgement || aWorker.mUnansweredHolds > 0;
+         hasOverdueAcknowledgement || hasFurtherEnds ||
+         aWorker.mUnansweredHolds > 0;
 }
 
 void
@@ -69,8 +72,11 @@
   HoldOrder order;
   order.mTarget = TargetOf(aWorker);
   order.mLeaseEnd = extend ? aWorker.GrantLease(now) : 0;
+  // Further ends are listed only after those before are acknowledged.
+  const bool mayAcknowledge =
+    !aWorker.mAreListsRead || !aWorker.HasUnlocatedRuns();
   order.mAcknowledgedEnds =
-    aWorker.HasUnlocatedRuns() ? 0 : aWorker.LastAcknowledgeableEnd();
+    mayAcknowledge ? aWorker.LastAcknowledgeableEnd() : 0;
   const bool isLongPoll = !aUrgent && aWorker.mFenceAccepted &&
                           aWorker.mUnansweredHolds == 0 &&
                           !aWorker.Runs().empty();
@@ -144,12 +150,14 @@
   worker.ObserveClock(aResult.mClock, mClock.MonotonicNow());
   // An answer to an order that was sent under an earlier fence says nothing
   // about the runs that another leader has started since.
-  worker.mFenceAccepted =
-    worker.mFenceAccepted || aHold > worker.mDoubtedUpToHold;
+  const bool isUnderFence = aHold > worker.mDoubtedUpToHold;
+  worker.mFenceAccepted = worker.mFenceAccepted || isUnderFence;
+  worker.mAreListsRead =
+    worker.mAreListsRead || (isUnderFence && aResult.mIsEndListComplete);
   RegisterWorker(worker);
   ProcessEnds(worker, aResult.mEnded);
   ProcessRunning(worker, aResult.mRunning);
-  if (aResult.mIsRunningListComplete) {
+  if (aResult.mIsRunningListComplete && aResult.mIsEndListComplete) {
     RemoveUnlistedRuns(worker, aHold, aResult.mRunning);
   }
   const TimePoint now = mClock.MonotonicNow();
@@ -159,13 +167,25 @@
   if (!mRecoveryComplete) {
     TryFinishRecovery(now);
   }
-  if (!worker.Runs().empty()) {
-    Hold(worker, false);
+  if (!worker.Runs().empty() || !worker.mAreListsRead) {
+    ReadOn(worker);
   }
   Schedule();
   FlushRecords();
 }
 
+// A worker lists the same ends again until they are acknowledged, which has to
+// wait until they are stored.
+void
+Coordinator::ReadOn(WorkerSession& aWorker)
+{
+  const bool mayListMore =
+    aWorker.mAreListsRead || aWorker.HasUnacknowledgedEnds();
+  if (mayListMore) {
+    Hold(aWorker, false);
+  }
+}
+
 void
 Coordinator::OnUnanswered(WorkerSession& aWorker)
 {
@@ -408,7 +428,7 @@
 Coordinator::AreAllListsRead()
 {
   const auto isUnread = [](const auto& aEntry) {
-    return aEntry.second.mRegistered && !aEntry.second.mFenceAccepted;
+    return aEntry.second.mRegistered && !aEntry.second.mAreListsRead;
   };
   auto unread =
     std::find_if(mWorkers.lower_bound(mFirstUnread), mWorkers.end(), isUnread);
@@ -420,7 +440,7 @@
     return false;
   }
   return std::any_of(mWorkers.begin(), mWorkers.end(), [](const auto& aEntry) {
-    return aEntry.second.mFenceAccepted;
+    return aEntry.second.mAreListsRead;
   });
 }
 
--- a/Source/Dispatch/WorkerCalls.h
+++ b/Source/Dispatch/WorkerCalls.h
@@ -199,13 +199,17 @@
   /** False if an entry of the list of running runs could not be read. Such a
    * list does not show that any run is gone. */
   bool mIsRunningListComplete = true;
+  /** False if the worker may have ended more runs than it lists at a time. Runs
+   * of the further ends stand in neither list. */
+  bool mIsEndListComplete = true;
 
   MSGPACK_DEFINE(mOutcome,
                  mClock,
                  mStartTimeMs,
                  mRunning,
                  mEnded,
-                 mIsRunningListComplete)
+                 mIsRunningListComplete,
+                 mIsEndListComplete)
 };
 
 /** \brief Sends orders to workers.
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -149,6 +149,7 @@
   void RequireRead()
   {
     mFenceAccepted = false;
+    mAreListsRead = false;
     mDoubtedUpToHold = mHoldsSent;
   }
 
@@ -191,6 +192,9 @@
   /** True once the worker has answered under this leader's fence. Orders of
    * earlier leaders have no effect from then on. */
   bool mFenceAccepted = false;
+  /** True once the worker has also listed all ends of its runs. Until then, a
+   * run that stands in neither list may have ended well. */
+  bool mAreListsRead = false;
   /** Hold orders up to this number were sent before it came into doubt that the
    * worker follows this leader. Their answers do not prove that it does. */
   std::uint64_t mDoubtedUpToHold = 0;
--- a/Tests/Dispatch/ScriptedLeader.h
+++ b/Tests/Dispatch/ScriptedLeader.h
@@ -89,14 +89,15 @@
   }
 
   /** Begins to lead. The workers are registered and have free clocks. */
-  void Begin(const std::vector<dispatch::WorkerReport>& aWorkers)
+  void Begin(const std::vector<dispatch::WorkerReport>& aWorkers,
+             const std::vector<dispatch::WorkerReport>& aReports = {})
   {
     dispatch::DispatchState state;
     state.mFence = kFence;
     for (const dispatch::WorkerReport& worker : aWorkers) {
       state.mWorkers[worker.mBoot.mId] = worker;
     }
-    mCoordinator.BeginLeading(kFence, state, {});
+    mCoordinator.BeginLeading(kFence, state, aReports);
   }
 
   static dispatch::WorkerReport ReportOf(const std::string& aId,
@@ -151,6 +152,17 @@
   {
     AnswerHoldAs(0, 1000 + mElapsedMs, std::move(aRunning), std::move(aEnded));
   }
+  /** Answers the oldest hold order with a part of the ends. */
+  void AnswerHoldInPart(std::vector<dispatch::EndedRun> aEnded)
+  {
+    const auto hold = OrderRecorder::TakeFirst(mOrders.mHolds);
+    dispatch::HoldResult result;
+    result.mOutcome = dispatch::OrderOutcome::Done;
+    result.mClock = 1000 + mElapsedMs;
+    result.mEnded = std::move(aEnded);
+    result.mIsEndListComplete = false;
+    hold.mDone(result);
+  }
   /** Answers the oldest hold order as a boot whose clock began anew.
    * \param aStartTimeMs start time of the boot */
   void AnswerHoldByLaterBoot(std::uint64_t aStartTimeMs,
--- a/Tests/Dispatch/SimulatedFleet.cxx
+++ b/Tests/Dispatch/SimulatedFleet.cxx
@@ -21,6 +21,7 @@
 constexpr milliseconds kOneWayDelay{ 2 };
 constexpr milliseconds kMaxLease{ 1000 };
 constexpr milliseconds kStopDuration{ 20 };
+constexpr std::size_t kMaxEndsListed = 500;
 
 std::string
 NameOf(const TaskId& aTask)
@@ -385,7 +386,11 @@
     }
     result.mRunning.push_back(listed);
   }
-  result.mEnded = aWorker.mEnded;
+  const std::size_t listed = std::min(aWorker.mEnded.size(), kMaxEndsListed);
+  result.mEnded.assign(aWorker.mEnded.begin(),
+                       aWorker.mEnded.begin() +
+                         static_cast<std::ptrdiff_t>(listed));
+  result.mIsEndListComplete = listed < kMaxEndsListed;
   return result;
 }
 
--- a/Tests/Platform/CodecTest.cxx
+++ b/Tests/Platform/CodecTest.cxx
@@ -405,3 +405,23 @@
           OrderOutcome::Failed);
   }
 }
+
+TEST_CASE(
+  "Worker codec: a list of as many ends as a worker lists at a time may "
+  "go on")
+{
+  const auto listOf = [](int aEnds) {
+    std::string rows;
+    for (int i = 1; i <= aEnds; ++i) {
+      rows += (i > 1 ? "," : "") + std::string("[") + std::to_string(i) +
+              R"(,"5c0e7a21d94b36f8.0.0.)" + std::to_string(i) +
+              R"(",1,"done",""])";
+    }
+    return platform::DecodeHoldAnswer(
+      200, R"({"clock_ms":1,"running":[],"finished":[)" + rows + "]}");
+  };
+  CHECK(listOf(0).mIsEndListComplete);
+  CHECK(listOf(499).mIsEndListComplete);
+  CHECK_FALSE(listOf(500).mIsEndListComplete);
+  CHECK(listOf(500).mEnded.size() == 500);
+}
