Dispatch: Awaits the leases that a new leader has granted itself

Cause: recovery ends 1.06 s after a leader began, by when the leases of earlier leaders have expired. But the new leader renewed the lease of each worker with its first two list orders, answered or not.

Change: the lease of a worker that is not read is renewed once, and recovery also waits until the leases granted to unread workers have expired.

Test: the new case fails on the commit before: the second order renews the lease, and the leader settles before the first has ended.

--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -374,6 +374,9 @@
   /** Returns whether the run lists of all registered workers, and of at least
    * one worker, have been read. */
   bool AreAllListsRead();
+  /** Returns whether the leases that this leader has granted to unread workers
+   * have expired. */
+  bool HaveUnreadLeasesExpired(TimePoint aNow) const;
   void TryFinishRecovery(TimePoint aNow);
 
   const CoordinatorOptions mOptions;
--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -65,9 +65,13 @@
   // leader may already count on them to end with that lease.
   const bool mustLetLeaseExpire =
     mScope.IsLocal() && (!aWorker.mFenceAccepted || aWorker.mOrphanCount > 0);
+  // Recovery waits for the lists of a worker or for the end of its lease, so
+  // that the lease of an unread worker is extended only once.
+  const bool mayExtend =
+    mRecoveryComplete || aWorker.mAreListsRead || aWorker.mHoldsSent == 0;
   const bool extend = aWorker.IsClockKnown() && !aWorker.Report().mHasLeft &&
                       aWorker.mUnansweredHolds < kUnansweredBeforeLeaseStop &&
-                      !mustLetLeaseExpire &&
+                      !mustLetLeaseExpire && mayExtend &&
                       (!aWorker.Runs().empty() || !aWorker.mFenceAccepted);
   HoldOrder order;
   order.mTarget = TargetOf(aWorker);
@@ -444,6 +448,17 @@
   });
 }
 
+bool
+Coordinator::HaveUnreadLeasesExpired(TimePoint aNow) const
+{
+  return std::all_of(
+    mWorkers.begin(), mWorkers.end(), [aNow](const auto& aEntry) {
+      const WorkerSession& worker = aEntry.second;
+      return !worker.mRegistered || worker.mAreListsRead ||
+             worker.HasLeaseExpired(aNow);
+    });
+}
+
 void
 Coordinator::TryFinishRecovery(TimePoint aNow)
 {
@@ -455,7 +470,8 @@
   // A local leader need not wait for leases to expire: it starts only jobs that
   // no other leader has seen.
   const bool leasesExpired =
-    aNow - mLeadingSince >= maxLease || mScope.IsLocal();
+    mScope.IsLocal() ||
+    (aNow - mLeadingSince >= maxLease && HaveUnreadLeasesExpired(aNow));
   const bool allRead = !mMustAwaitLeases && AreAllListsRead();
   if (!leasesExpired && !allRead) {
     return;
--- a/Tests/Dispatch/EndListTest.cxx
+++ b/Tests/Dispatch/EndListTest.cxx
@@ -79,6 +79,32 @@
   CHECK(leader.mCoordinator.IsRecoveryComplete());
 }
 
+// Guards against runs that are started again beside runs that work on: a new
+// leader awaited the end of the leases from its begin on, and had renewed them.
+TEST_CASE("End lists: a new leader awaits the lease that it has granted to a "
+          "worker that it has not read")
+{
+  const WorkerReport report = ScriptedLeader::ReportOf("w0");
+  ScriptedLeader leader;
+  leader.mOrders.mMaySend = false;
+  leader.Begin({ report }, { report });
+  leader.Run(milliseconds(500));
+  leader.mOrders.mMaySend = true;
+  leader.Run(milliseconds(10));
+  REQUIRE(leader.mOrders.mHolds.size() == 1);
+  const auto hold = testing::OrderRecorder::TakeFirst(leader.mOrders.mHolds);
+  CHECK(hold.mOrder.mLeaseEnd > 0);
+  hold.mDone({});
+  leader.Run(milliseconds(50));
+  // The lease is granted once.
+  REQUIRE(leader.mOrders.mHolds.size() == 1);
+  CHECK(leader.mOrders.mHolds.front().mOrder.mLeaseEnd == 0);
+  leader.Run(milliseconds(900));
+  CHECK_FALSE(leader.mCoordinator.IsRecoveryComplete());
+  leader.Run(milliseconds(150));
+  CHECK(leader.mCoordinator.IsRecoveryComplete());
+}
+
 TEST_CASE("End lists: a leader counts no run as lost by a part of the list")
 {
   ScriptedLeader leader;
