Dispatch: Grants a later boot no lease that nobody can have granted

The session of a later boot assumed a lease of up to 1.8 s, also without runs in doubt, and recovery awaits the leases of workers that it has not read: a worker that starts again and is lost would have held up a new leader by that time.

Change: the lease is assumed only with runs in doubt. A constant in the tests of the end lists has the type that the linter asks for.

--- a/Source/Dispatch/CoordinatorWorkers.cxx
+++ b/Source/Dispatch/CoordinatorWorkers.cxx
@@ -193,7 +193,9 @@
   for (const auto& [task, run] : inherited) {
     worker.Add(task, run);
   }
-  worker.AssumeLeaseGranted(now + kMaxOrderTransit);
+  if (!inherited.empty()) {
+    worker.AssumeLeaseGranted(now + kMaxOrderTransit);
+  }
   if (aHasReported) {
     RegisterLaterBoot(worker);
   }
--- a/Tests/Dispatch/EndListTest.cxx
+++ b/Tests/Dispatch/EndListTest.cxx
@@ -15,6 +15,7 @@
 
 constexpr int kJobs = 30;
 constexpr std::uint32_t kTasksOfJob = 20;
+constexpr std::size_t kTasks = 600;
 
 std::string
 IdOf(int aJob)
@@ -50,7 +51,7 @@
     fixture.Submit(calls.back(), milliseconds(300));
   }
   fixture.Run(milliseconds(100));
-  REQUIRE(fixture.mFleet.RunningOn("w0") == kJobs * kTasksOfJob);
+  REQUIRE(fixture.mFleet.RunningOn("w0") == kTasks);
   fixture.CurrentLeader().mTransport.mDisconnected.insert("w0");
   fixture.Run(milliseconds(400));
   REQUIRE(fixture.mFleet.RunningOn("w0") == 0);
