Tests: Gives the simulated leader's connection its own files

The connection of a simulated leader stood beside the simulated workers and said for each kind of order anew what becomes of it.

--- a/Tests/Dispatch/DispatchFixture.h
+++ b/Tests/Dispatch/DispatchFixture.h
@@ -8,6 +8,7 @@
 
 #include "Base/EventLog.h"
 #include "Dispatch/Coordinator.h"
+#include "Dispatch/LeaderTransport.h"
 #include "Dispatch/SimulatedFleet.h"
 #include "Support/ManualClock.h"
 
--- a/Tests/Dispatch/SimulatedFleet.h
+++ b/Tests/Dispatch/SimulatedFleet.h
@@ -158,38 +158,4 @@
   std::vector<std::string> mErrors;
 };
 
-/** \brief Simulated connection of one leader to the workers. */
-class LeaderTransport : public dispatch::WorkerCalls
-{
-public:
-  explicit LeaderTransport(SimulatedFleet& aFleet)
-    : mFleet(aFleet)
-  {
-  }
-
-  void Start(const dispatch::StartOrder& aOrder,
-             std::chrono::milliseconds aTimeout,
-             OrderDone aDone) override;
-  void Stop(const dispatch::StopOrder& aOrder,
-            std::chrono::milliseconds aTimeout,
-            OrderDone aDone) override;
-  void Hold(const dispatch::HoldOrder& aOrder,
-            std::chrono::milliseconds aTimeout,
-            HoldDone aDone) override;
-
-  /** Delay of outgoing orders. Simulates a process that was suspended while
-   * sending them. One that is later than its timeout is not sent on a new
-   * connection, so that it reaches no later boot of the worker. */
-  std::chrono::milliseconds mDelay{ 0 };
-  /** True once the leader's lease has ended, after which it sends no orders. */
-  bool mLeaseEnded = false;
-  /** Workers that neither receive this leader's orders nor answer them. */
-  std::set<std::string> mDisconnected;
-
-private:
-  bool IsDisconnected(const dispatch::OrderTarget& aTarget) const;
-
-  SimulatedFleet& mFleet;
-};
-
 }
