Dispatch: Takes no list that was overtaken for proof that a run is gone

Cause of the fault below, by reading: an urgent list order goes out beside the long poll. A run that a list shows as running was checked against each list order sent after its start order; the answer to one of these may have been made before the run began and arrive last. The run was counted as gone, its room was given away, and its task was started again beside it.

Change: once a list shows a run, only orders sent after that can show it as gone.

Test: the new case fails on the code before (run 2 is there instead of run 1).

--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -314,6 +314,8 @@
       (run->mIsInherited && run->mPhase == RunPhase::Unconfirmed);
     if (wasInDoubt) {
       run->mPhase = RunPhase::Running;
+      // Another answer may have been made before the run began, and be late.
+      run->mIgnoreHoldsUpTo = aWorker.mHoldsSent;
     }
     run->mIsLocated = true;
     run->mPercent = listed.mPercent;
--- a/Tests/Dispatch/WorkerReadTest.cxx
+++ b/Tests/Dispatch/WorkerReadTest.cxx
@@ -115,3 +115,45 @@
   leader.Run(milliseconds(20));
   CHECK(leader.mOrders.mHolds.size() == 1);
 }
+
+// Guards against two runs of a task and against more than a worker's capacity:
+// a list that had been overtaken showed a run as gone that another had shown.
+TEST_CASE("Worker lists: a list that was made before a start and arrives after "
+          "the run was listed shows it not as gone")
+{
+  ScriptedLeader leader;
+  StartOneRun(leader);
+  const auto longPoll =
+    almondspoke::testing::OrderRecorder::TakeFirst(leader.mOrders.mHolds);
+  // The second run is ordered; its start is not answered yet.
+  leader.Submit("second", 1, 8000);
+  REQUIRE(leader.mOrders.mStarts.size() == 1);
+  // A third start is lost and stopped; the confirmation sends an urgent order.
+  leader.Submit("third", 1, 1000);
+  REQUIRE(leader.mOrders.mStarts.size() == 2);
+  leader.mOrders.mStarts.back().mDone({});
+  leader.mOrders.mStarts.pop_back();
+  REQUIRE(leader.mOrders.mStops.size() == 1);
+  const auto stop =
+    almondspoke::testing::OrderRecorder::TakeFirst(leader.mOrders.mStops);
+  stop.mDone({ OrderOutcome::Done, 1000 + leader.mElapsedMs });
+  REQUIRE(leader.mOrders.mHolds.size() == 1);
+  const auto urgent =
+    almondspoke::testing::OrderRecorder::TakeFirst(leader.mOrders.mHolds);
+  // The long poll is answered first, and lists the second run.
+  HoldResult listed;
+  listed.mOutcome = OrderOutcome::Done;
+  listed.mClock = 1000 + leader.mElapsedMs;
+  listed.mRunning = { ListedRun("first", 1), ListedRun("second", 1) };
+  longPoll.mDone(listed);
+  // The urgent order was answered before the start arrived.
+  HoldResult earlier;
+  earlier.mOutcome = OrderOutcome::Done;
+  earlier.mClock = 1000 + leader.mElapsedMs;
+  earlier.mRunning = { ListedRun("first", 1) };
+  urgent.mDone(earlier);
+  leader.Run(milliseconds(20));
+  const auto& runs = leader.mCoordinator.Workers().at("w0").Runs();
+  REQUIRE(runs.count(TaskId{ "second", 0, 0, 0 }) == 1);
+  CHECK(runs.at(TaskId{ "second", 0, 0, 0 }).mNumber == 1);
+}
