Consensus: Lets a replica whose disk works again rejoin

Three core machines' disks took no bytes for 5 s each, in turn; from the third on no manifest was stored and none could be read, though all four processes ran on sound disks.

Nothing ever opened it again, and the core had no way out of its failed state, so that each such disk took a voter for good. The tests and the seeded simulation healed a failed replica by a restart.

It reads its storage, stores all of it anew before it believes it, and finds it corrupt if it lacks a vote or an entry that it has confirmed. JournalWriter, parted from ConsensusGroup, tries this every 250 ms; then a new core takes the place of the failed one and verifies itself against its peers, as after a restart. The state machine does not go back: what it applied is not applied again. Two metrics, and lines storage-failed and storage-reopened.

A case of real processes with full disks and failing syncs in turn passes.

--- a/Source/Consensus/ConsensusCore.cxx
+++ b/Source/Consensus/ConsensusCore.cxx
@@ -42,6 +42,7 @@
   // so it grants no vote before the leader's lease has expired.
   , mLastLeaderContact(aNow)
   , mNextJoin(aNow)
+  , mDeliveredIndex(mOptions.mAppliedIndex)
   , mNextHeartbeat(aNow)
   , mNextVerify(aNow)
 {
@@ -357,9 +358,7 @@
     if (mRestoreSequence > mSyncedSequence) {
       return;
     }
-    mDeliveredIndex = mSnapshotToRestore->mIndex;
-    aEffects.mSnapshotToRestore = std::move(mSnapshotToRestore);
-    mSnapshotToRestore.reset();
+    DeliverSnapshot(aEffects);
   }
   // Entries that are not durable here are not applied: a crash could lose
   // them.
@@ -372,13 +371,27 @@
   const bool large =
     mDeliveredIndex - snapshotIndex >= mOptions.mLimits.mCompactionEntries ||
     mLog.Bytes() >= mOptions.mLimits.mCompactionBytes;
-  if (large && mDeliveredIndex > snapshotIndex && !mSnapshotRequested &&
-      mRole != ReplicaRole::Failed) {
+  // After a disk failure the state machine may be ahead of the log.
+  const bool covered = mDeliveredIndex <= limit;
+  if (large && covered && mDeliveredIndex > snapshotIndex &&
+      !mSnapshotRequested && mRole != ReplicaRole::Failed) {
     mSnapshotRequested = true;
     aEffects.mTakeSnapshot = true;
   }
 }
 
+void
+ConsensusCore::DeliverSnapshot(CoreEffects& aEffects)
+{
+  const Snapshot snapshot = std::move(*mSnapshotToRestore);
+  mSnapshotToRestore.reset();
+  if (snapshot.mIndex <= mDeliveredIndex) {
+    return;
+  }
+  mDeliveredIndex = snapshot.mIndex;
+  aEffects.mSnapshotToRestore = snapshot;
+}
+
 CoreEffects
 ConsensusCore::TakeEffects(TimePoint aNow)
 {
--- a/Source/Consensus/ConsensusCore.h
+++ b/Source/Consensus/ConsensusCore.h
@@ -90,6 +90,9 @@
   /** Number of voters that the leader maintains by promoting durable learners
    * and replacing unresponsive voters; zero if operators manage the voters. */
   std::size_t mTargetVoterCount = 0;
+  /** Last log index that the state machine has applied before; entries up to it
+   * are not delivered again. Zero for a state machine in its initial state. */
+  LogIndex mAppliedIndex = 0;
   ConsensusTimings mTimings;
   ConsensusLimits mLimits;
   /** Seed of the random election timeouts and identifiers. */
@@ -205,8 +208,9 @@
                ConsensusMessage&& aMessage);
   /** To be called when all writes up to a sequence number are durable. */
   void DiskCompleted(TimePoint aNow, std::uint64_t aSequence);
-  /** To be called when a write has failed; the replica is inactive from then
-   * on. */
+  /** To be called when a write has failed. The replica is inactive from then
+   * on; once the storage can be opened again, another core takes its place as
+   * after a restart. */
   void DiskFailed(TimePoint aNow);
 
   /** Appends a command to the leader's log. Errors: NotLeader, QueueFull. */
@@ -367,6 +371,8 @@
                     const ConsensusMessage& aMessage);
   void AdvanceFollowerCommit(LogIndex aCommit);
   void CollectCommittedEntries(CoreEffects& aEffects);
+  /** Delivers the received snapshot unless the state machine is ahead of it. */
+  void DeliverSnapshot(CoreEffects& aEffects);
 
   // Admission, restart verification and membership changes.
   void SendJoins();
--- a/Source/Consensus/ConsensusGroup.cxx
+++ b/Source/Consensus/ConsensusGroup.cxx
@@ -8,6 +8,7 @@
 
 #include "Consensus/ConsensusChannel.h"
 #include "Consensus/Journal.h"
+#include "Consensus/JournalWriter.h"
 
 namespace almondspoke {
 
@@ -24,10 +25,9 @@
 }
 
 StorageIncarnation
-RandomIncarnation(std::uint64_t aSeed)
+DrawIncarnation(std::mt19937_64& aRandom)
 {
-  std::mt19937_64 random(aSeed);
-  return std::uniform_int_distribution<std::uint32_t>(1)(random);
+  return std::uniform_int_distribution<std::uint32_t>(1)(aRandom);
 }
 
 Error
@@ -53,6 +53,7 @@
   , mChannel(aChannel)
   , mMachine(aMachine)
   , mClock(aClock)
+  , mRandom(ChooseSeed(mOptions.mSeed))
 {
   if (aStorage != nullptr) {
     mJournal = std::make_unique<Journal>(*aStorage);
@@ -67,41 +68,15 @@
 Result<void>
 ConsensusGroup::Start()
 {
-  const std::uint64_t seed = ChooseSeed(mOptions.mSeed);
   StoredState stored;
-  stored.mIdentity.mIncarnation = RandomIncarnation(seed);
+  stored.mIdentity.mIncarnation = DrawIncarnation(mRandom);
   if (mJournal) {
-    Result<StoredState> opened = mJournal->Open(stored.mIdentity.mIncarnation);
-    if (!opened && opened.error().Kind() == ErrorKind::StorageCorrupt) {
-      LOG(ERROR) << "group=" << mOptions.mGroup
-                 << " storage is corrupt and is discarded: "
-                 << opened.error().Message();
-      JournalWrite reset;
-      stored.mIdentity.mEverAdmitted = true;
-      reset.mNewIdentity = stored.mIdentity;
-      BOOST_OUTCOME_TRY(mJournal->Write({ reset }));
-      opened = stored;
-    }
-    if (!opened) {
-      return opened.error();
-    }
-    stored = std::move(opened.value());
+    BOOST_OUTCOME_TRY(opened, OpenStorage());
+    stored = std::move(opened);
   }
-  CoreOptions core;
-  core.mSelf = mOptions.mSelf;
-  core.mInitialVoters = mOptions.mInitialVoters;
-  core.mDurable = mJournal != nullptr;
-  core.mAdmitLearners = mOptions.mAdmitLearners;
-  core.mMayBootstrap = mOptions.mMayBootstrap;
-  core.mTargetVoterCount = mOptions.mTargetVoterCount;
-  core.mTimings = mOptions.mTimings;
-  core.mLimits = mOptions.mLimits;
-  core.mSeed = seed + 1;
   mInitialState = mMachine.TakeSnapshot();
-  const TimePoint now = mClock.MonotonicNow();
-  mCore =
-    std::make_unique<ConsensusCore>(std::move(core), std::move(stored), now);
-  mNextTick = now;
+  mCore = MakeCore(std::move(stored));
+  mNextTick = mClock.MonotonicNow();
   PublishStatus();
   mRunning = true;
   mChannel.Attach(
@@ -109,11 +84,78 @@
     [this](const InstanceName& aFrom, const std::string& aPayload) {
       Post([this, aFrom, aPayload] { OnMessage(aFrom, aPayload); });
     });
-  mJournalThread = std::thread([this] { RunJournal(); });
+  if (mJournal) {
+    StartJournalWriter();
+  }
   mCoreThread = std::thread([this] { RunCore(); });
   return Success();
 }
 
+Result<StoredState>
+ConsensusGroup::OpenStorage()
+{
+  const StorageIncarnation incarnation = DrawIncarnation(mRandom);
+  Result<StoredState> opened = mJournal->Open(incarnation);
+  if (opened || opened.error().Kind() != ErrorKind::StorageCorrupt) {
+    return opened;
+  }
+  LOG(ERROR) << "group=" << mOptions.mGroup
+             << " storage is corrupt and is discarded: "
+             << opened.error().Message();
+  return mJournal->Discard(incarnation);
+}
+
+CoreOptions
+ConsensusGroup::OptionsOfCore() const
+{
+  CoreOptions core;
+  core.mSelf = mOptions.mSelf;
+  core.mInitialVoters = mOptions.mInitialVoters;
+  core.mDurable = mJournal != nullptr;
+  core.mAdmitLearners = mOptions.mAdmitLearners;
+  core.mMayBootstrap = mOptions.mMayBootstrap;
+  core.mTargetVoterCount = mOptions.mTargetVoterCount;
+  core.mAppliedIndex = mApplied;
+  core.mTimings = mOptions.mTimings;
+  core.mLimits = mOptions.mLimits;
+  core.mSeed = ChooseSeed(mOptions.mSeed) + 1 + mFailureCount;
+  return core;
+}
+
+std::unique_ptr<ConsensusCore>
+ConsensusGroup::MakeCore(StoredState aStored) const
+{
+  return std::make_unique<ConsensusCore>(
+    OptionsOfCore(), std::move(aStored), mClock.MonotonicNow());
+}
+
+void
+ConsensusGroup::StartJournalWriter()
+{
+  JournalWriter::Callbacks callbacks;
+  callbacks.mOnWritten = [this](std::uint64_t aSequence) {
+    Post([this, aSequence] {
+      mCore->DiskCompleted(mClock.MonotonicNow(), aSequence);
+    });
+  };
+  callbacks.mOnFailed = [this](const Error& aError) {
+    LOG(ERROR) << "group=" << mOptions.mGroup
+               << " takes no further part until its storage can be opened "
+                  "again: "
+               << aError.Message();
+    Post([this, aError] { OnDiskFailed(aError); });
+  };
+  callbacks.mOpen = [this] { return OpenStorage(); };
+  callbacks.mOnReopened = [this](StoredState aStored) {
+    Post([this, stored = std::move(aStored)]() mutable {
+      OnReopened(std::move(stored));
+    });
+  };
+  mJournalWriter = std::make_unique<JournalWriter>(
+    *mJournal, mOptions.mReopenInterval, std::move(callbacks));
+  mJournalWriter->Start();
+}
+
 void
 ConsensusGroup::Stop()
 {
@@ -128,12 +170,9 @@
   }
   mTaskReady.notify_all();
   mCoreThread.join();
-  {
-    const std::lock_guard<std::mutex> lock(mJournalMutex);
-    mJournalStopping = true;
+  if (mJournalWriter) {
+    mJournalWriter->Stop();
   }
-  mJournalReady.notify_all();
-  mJournalThread.join();
   FailAllPending();
 }
 
@@ -217,7 +256,7 @@
   SendAll(effects.mMessages);
   bool again = false;
   if (!effects.mWrites.empty() && mJournal) {
-    QueueWrites(std::move(effects.mWrites));
+    mJournalWriter->Write(std::move(effects.mWrites));
   } else if (!effects.mWrites.empty()) {
     mCore->DiskCompleted(mClock.MonotonicNow(),
                          effects.mWrites.back().mSequence);
@@ -235,45 +274,6 @@
   return again;
 }
 
-void
-ConsensusGroup::QueueWrites(std::vector<JournalWrite> aWrites)
-{
-  {
-    const std::lock_guard<std::mutex> lock(mJournalMutex);
-    std::move(
-      aWrites.begin(), aWrites.end(), std::back_inserter(mJournalQueue));
-  }
-  mJournalReady.notify_one();
-}
-
-void
-ConsensusGroup::RunJournal()
-{
-  while (true) {
-    std::vector<JournalWrite> writes;
-    {
-      std::unique_lock<std::mutex> lock(mJournalMutex);
-      mJournalReady.wait(
-        lock, [&] { return mJournalStopping || !mJournalQueue.empty(); });
-      if (mJournalQueue.empty()) {
-        return;
-      }
-      writes.swap(mJournalQueue);
-    }
-    const Result<void> written = mJournal->Write(writes);
-    if (written) {
-      const std::uint64_t sequence = writes.back().mSequence;
-      Post([this, sequence] {
-        mCore->DiskCompleted(mClock.MonotonicNow(), sequence);
-      });
-      continue;
-    }
-    LOG(ERROR) << "group=" << mOptions.mGroup
-               << " takes no further part: " << written.error().Message();
-    Post([this] { OnDiskFailed(); });
-  }
-}
-
 void
 ConsensusGroup::SendAll(const std::vector<OutgoingMessage>& aMessages)
 {
@@ -507,6 +507,13 @@
   return mPublishedApplied;
 }
 
+std::string
+ConsensusGroup::FailureReason() const
+{
+  const std::lock_guard<std::mutex> lock(mPublishedMutex);
+  return mPublishedFailure;
+}
+
 void
 ConsensusGroup::TransferLeadership(const DoneVoid& aDone)
 {
--- a/Source/Consensus/ConsensusGroup.h
+++ b/Source/Consensus/ConsensusGroup.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,6 +27,7 @@
 class ConsensusChannel;
 class Journal;
 class JournalStorage;
+class JournalWriter;
 
 /** \brief Configuration of a ConsensusGroup. */
 struct ConsensusGroupOptions
@@ -48,6 +50,8 @@
   std::chrono::milliseconds mProposalTimeout{ 3000 };
   /** Interval between calls of ConsensusCore::Tick(). */
   std::chrono::milliseconds mTickInterval{ 25 };
+  /** Time between the attempts to use storage again that has failed. */
+  std::chrono::milliseconds mReopenInterval{ 250 };
   /** Maximum number of pending proposals and barriers. */
   std::size_t mMaxPending = 20000;
   /** Seed of the random numbers; zero for one from the system. */
@@ -104,10 +108,18 @@
   void ChangeVoters(const VoterChange& aChange,
                     const VersionDone& aDone) override;
 
-  /** Whether the storage has failed. The replica is then inactive and rejects
-   * all proposals and barriers immediately. */
+  /** Whether the storage has failed. Until it can be opened again, the replica
+   * is inactive and rejects all proposals and barriers immediately; then it
+   * rejoins the group as after a restart, without its state machine going
+   * back. */
   bool HasFailed() const { return mHasFailed; }
 
+  /** Number of times that the storage has failed. */
+  std::uint64_t FailureCount() const { return mFailureCount; }
+
+  /** Error of the latest failed write; empty if none has failed. */
+  std::string FailureReason() const;
+
   /** State of this replica, at most one tick interval old. */
   CoreStatus Status() const override;
 
@@ -158,13 +170,16 @@
    * the group has been stopped. */
   bool Post(Task aTask);
   void RunCore();
-  void RunJournal();
+  /** Reads the storage; storage that is corrupt is discarded. */
+  Result<StoredState> OpenStorage();
+  CoreOptions OptionsOfCore() const;
+  std::unique_ptr<ConsensusCore> MakeCore(StoredState aStored) const;
+  void StartJournalWriter();
   TimePoint NextTick() const;
   std::chrono::nanoseconds TimeUntilTick() const;
   void OnTick(TimePoint aNow);
   /** Carries out the pending effects; returns true if they caused new ones. */
   bool ExecuteEffects();
-  void QueueWrites(std::vector<JournalWrite> aWrites);
   void SendAll(const std::vector<OutgoingMessage>& aMessages);
   void RestoreMachine(const Snapshot& aSnapshot);
   void ResetMachine();
@@ -183,7 +198,8 @@
   void AdvanceBarriers(TimePoint aNow);
   void StartVoterChange(const VoterChange& aChange, const VersionDone& aDone);
   void AdvanceVoterChanges(TimePoint aNow);
-  void OnDiskFailed();
+  void OnDiskFailed(const Error& aError);
+  void OnReopened(StoredState aStored);
   void FailAppended(LogIndex aUpTo);
   void FailUnsent();
   void FailAllPending();
@@ -196,6 +212,10 @@
   StateMachine& mMachine;
   const Clock& mClock;
   std::unique_ptr<Journal> mJournal;
+  std::unique_ptr<JournalWriter> mJournalWriter;
+
+  /** Draws incarnations; used by OpenStorage() only. */
+  std::mt19937_64 mRandom;
 
   // Used on the core thread only.
   std::unique_ptr<ConsensusCore> mCore;
@@ -211,6 +231,7 @@
   TimePoint mNextTick;
 
   std::atomic<bool> mHasFailed{ false };
+  std::atomic<std::uint64_t> mFailureCount{ 0 };
 
   mutable std::mutex mTaskMutex;
   std::condition_variable mTaskReady;
@@ -218,20 +239,15 @@
   bool mStopping = false;
   bool mRunning = false;
 
-  std::mutex mJournalMutex;
-  std::condition_variable mJournalReady;
-  std::vector<JournalWrite> mJournalQueue;
-  bool mJournalStopping = false;
-
   mutable std::mutex mPublishedMutex;
   std::optional<InstanceName> mPublishedLeader;
   Term mPublishedTerm = 0;
   std::optional<TimePoint> mPublishedLeaseExpiry;
   LogIndex mPublishedApplied = 0;
   CoreStatus mPublishedStatus;
+  std::string mPublishedFailure;
 
   std::thread mCoreThread;
-  std::thread mJournalThread;
 };
 
 }
--- a/Source/Consensus/ConsensusGroupProposals.cxx
+++ b/Source/Consensus/ConsensusGroupProposals.cxx
@@ -3,7 +3,10 @@
 
 #include <utility>
 
+#include <glog/logging.h>
+
 #include "Consensus/ConsensusChannel.h"
+#include "Consensus/JournalWriter.h"
 
 namespace almondspoke {
 
@@ -259,12 +262,30 @@
 }
 
 void
-ConsensusGroup::OnDiskFailed()
+ConsensusGroup::OnDiskFailed(const Error& aError)
 {
   mCore->DiskFailed(mClock.MonotonicNow());
+  {
+    const std::lock_guard<std::mutex> lock(mPublishedMutex);
+    mPublishedFailure = aError.Message();
+  }
   mHasFailed = true;
+  ++mFailureCount;
   FailAppended(~LogIndex{ 0 });
   FailUnsent();
+  // Another leader takes over before the storage is tried again.
+  ExecuteEffects();
+  mJournalWriter->Reopen();
+}
+
+void
+ConsensusGroup::OnReopened(StoredState aStored)
+{
+  mCore = MakeCore(std::move(aStored));
+  mHasFailed = false;
+  LOG(WARNING) << "group=" << mOptions.mGroup
+               << " has opened its storage again and rejoins; applied up to "
+               << mApplied;
 }
 
 }
--- a/Source/Consensus/Journal.cxx
+++ b/Source/Consensus/Journal.cxx
@@ -157,6 +157,20 @@
   return std::optional<Snapshot>(std::move(snapshot));
 }
 
+/** Returns the position of the last entry, or of the snapshot if no entry
+ * follows it. */
+LogPosition
+LastPosition(const StoredState& aState)
+{
+  if (!aState.mEntries.empty()) {
+    const LogEntry& last = aState.mEntries.back();
+    return { last.mTerm, last.mIndex };
+  }
+  return aState.mSnapshot
+           ? LogPosition{ aState.mSnapshot->mTerm, aState.mSnapshot->mIndex }
+           : LogPosition{};
+}
+
 }
 
 Journal::Journal(JournalStorage& aStorage)
@@ -166,21 +180,44 @@
 
 Result<StoredState>
 Journal::Open(StorageIncarnation aNewIncarnation)
+{
+  BOOST_OUTCOME_TRY(state, ReadState(aNewIncarnation));
+  BOOST_OUTCOME_TRY(CheckConfirmed(state));
+  if (mFailed) {
+    BOOST_OUTCOME_TRY(StoreAnew(state));
+  }
+  mFailed = false;
+  mHardState = state.mHardState;
+  mConfirmed = { state.mHardState, LastPosition(state) };
+  return state;
+}
+
+Result<StoredState>
+Journal::Discard(StorageIncarnation aNewIncarnation)
+{
+  StoredState state;
+  state.mIdentity.mIncarnation = aNewIncarnation;
+  state.mIdentity.mEverAdmitted = true;
+  BOOST_OUTCOME_TRY(Reset(state.mIdentity));
+  mFailed = false;
+  return state;
+}
+
+Result<StoredState>
+Journal::ReadState(StorageIncarnation aNewIncarnation)
 {
   StoredState state;
   BOOST_OUTCOME_TRY(identity, mStorage.Read(kIdentityFile));
   if (!identity) {
-    // A replica without an identity has not acknowledged anything.
-    BOOST_OUTCOME_TRY(mStorage.Remove(kSnapshotFile));
-    BOOST_OUTCOME_TRY(mStorage.Remove(kLogFile));
-    state.mIdentity.mIncarnation = aNewIncarnation;
-    BOOST_OUTCOME_TRY(
-      mStorage.Replace(kIdentityFile, SingleRecord(state.mIdentity)));
-    return state;
+    return CreateIdentity(aNewIncarnation);
   }
   BOOST_OUTCOME_TRY(
     known, ReadSingleRecord<StorageIdentity>(kIdentityFile, *identity));
   state.mIdentity = known;
+  if (mFailed) {
+    // The smallest file first: a disk that still takes no bytes costs little.
+    BOOST_OUTCOME_TRY(mStorage.Replace(kIdentityFile, *identity));
+  }
   BOOST_OUTCOME_TRY(snapshot, ReadSnapshot(mStorage));
   BOOST_OUTCOME_TRY(file, mStorage.Read(kLogFile));
   const std::string bytes = file.value_or(std::string());
@@ -203,13 +240,79 @@
     // A crash interrupted WriteSnapshot() before it rewrote the log.
     BOOST_OUTCOME_TRY(RewriteLog(content));
   }
-  mHardState = content.mHardState;
   state.mHardState = std::move(content.mHardState);
   state.mSnapshot = std::move(snapshot);
   state.mEntries = std::move(content.mEntries);
   return state;
 }
 
+Result<StoredState>
+Journal::CreateIdentity(StorageIncarnation aNewIncarnation)
+{
+  // A replica without an identity has not acknowledged anything.
+  BOOST_OUTCOME_TRY(mStorage.Remove(kSnapshotFile));
+  BOOST_OUTCOME_TRY(mStorage.Remove(kLogFile));
+  StoredState state;
+  state.mIdentity.mIncarnation = aNewIncarnation;
+  BOOST_OUTCOME_TRY(
+    mStorage.Replace(kIdentityFile, SingleRecord(state.mIdentity)));
+  return state;
+}
+
+Result<void>
+Journal::StoreAnew(const StoredState& aState)
+{
+  LogFileContent content;
+  if (aState.mSnapshot) {
+    content.mBase = { aState.mSnapshot->mTerm, aState.mSnapshot->mIndex };
+  }
+  content.mHardState = aState.mHardState;
+  content.mEntries = aState.mEntries;
+  return RewriteLog(content);
+}
+
+Result<void>
+Journal::CheckConfirmed(const StoredState& aState) const
+{
+  const HardState& stored = aState.mHardState;
+  const HardState& confirmed = mConfirmed.mHardState;
+  const bool lostVote = stored.mTerm == confirmed.mTerm &&
+                        confirmed.mVotedFor != ReplicaId{} &&
+                        stored.mVotedFor != confirmed.mVotedFor;
+  const bool lostState = stored.mTerm < confirmed.mTerm || lostVote ||
+                         stored.mBootstrapId != confirmed.mBootstrapId;
+  if (confirmed.mBootstrapId != 0 && lostState) {
+    return Error(ErrorKind::StorageCorrupt,
+                 "the storage lacks the confirmed vote of term " +
+                   std::to_string(confirmed.mTerm));
+  }
+  if (LastPosition(aState) < mConfirmed.mLast) {
+    return Error(ErrorKind::StorageCorrupt,
+                 "the storage lacks the confirmed log index " +
+                   std::to_string(mConfirmed.mLast.mIndex));
+  }
+  return Success();
+}
+
+void
+Journal::Confirm(const JournalWrite& aWrite)
+{
+  if (aWrite.mNewIdentity) {
+    mConfirmed = {};
+  }
+  if (aWrite.mHardState) {
+    mConfirmed.mHardState = *aWrite.mHardState;
+  }
+  if (aWrite.mSnapshot) {
+    mConfirmed.mLast = std::max(
+      mConfirmed.mLast, { aWrite.mSnapshot->mTerm, aWrite.mSnapshot->mIndex });
+  }
+  if (!aWrite.mEntries.empty()) {
+    const LogEntry& last = aWrite.mEntries.back();
+    mConfirmed.mLast = { last.mTerm, last.mIndex };
+  }
+}
+
 Journal::LogFileContent
 Journal::Parse(std::string_view aBytes)
 {
@@ -289,6 +392,11 @@
   }
   Result<void> written = WriteBatch(aWrites);
   mFailed = !written;
+  if (written) {
+    std::for_each(aWrites.begin(), aWrites.end(), [this](const auto& aWrite) {
+      Confirm(aWrite);
+    });
+  }
   return written;
 }
 
@@ -336,6 +444,7 @@
 {
   // The identity is written first: if a crash leaves the old entries behind,
   // they belong to a replica that is not a voter.
+  mConfirmed = {};
   BOOST_OUTCOME_TRY(mStorage.Replace(kIdentityFile, SingleRecord(aIdentity)));
   BOOST_OUTCOME_TRY(mStorage.Remove(kLogFile));
   BOOST_OUTCOME_TRY(mStorage.Remove(kSnapshotFile));
--- a/Source/Consensus/Journal.h
+++ b/Source/Consensus/Journal.h
@@ -15,8 +15,9 @@
  *
  * The log file is a sequence of records, each with its length and an xxhash
  * checksum. A snapshot replaces the log file by one that starts after it. After
- * an error the journal rejects all further writes, because the contents of the
- * disk after a failed sync are unknown. Not thread-safe. */
+ * an error the journal rejects all further writes until Open() has succeeded
+ * again, because the contents of the disk after a failed sync are unknown. Not
+ * thread-safe. */
 class Journal
 {
 public:
@@ -24,9 +25,18 @@
 
   /** Reads the state. Truncates an incomplete record that a crash left at the
    * end of the log. Empty storage gets the identity aNewIncarnation.
+   *
+   * After a failed write it may be called until it succeeds: what it returns
+   * has then been stored anew, since nothing that a failed sync was to store
+   * can be believed. It fails with StorageCorrupt if the storage lacks what
+   * this journal has confirmed as durable.
    * Errors: StorageFailed, StorageCorrupt. */
   Result<StoredState> Open(StorageIncarnation aNewIncarnation);
 
+  /** Discards everything stored and returns the state of a replica that has
+   * lost its storage. Errors: StorageFailed. */
+  Result<StoredState> Discard(StorageIncarnation aNewIncarnation);
+
   /** Writes a batch durably, with a single sync unless the batch contains a
    * snapshot or a new identity. */
   Result<void> Write(const std::vector<JournalWrite>& aWrites);
@@ -44,6 +54,20 @@
     std::size_t mValidBytes = 0;
   };
 
+  /** What the journal has confirmed as durable, and a replica may therefore
+   * have voted for or acknowledged. */
+  struct ConfirmedState
+  {
+    HardState mHardState;
+    /** Position of the last entry. */
+    LogPosition mLast;
+  };
+
+  Result<StoredState> ReadState(StorageIncarnation aNewIncarnation);
+  Result<StoredState> CreateIdentity(StorageIncarnation aNewIncarnation);
+  Result<void> StoreAnew(const StoredState& aState);
+  Result<void> CheckConfirmed(const StoredState& aState) const;
+  void Confirm(const JournalWrite& aWrite);
   static LogFileContent Parse(std::string_view aBytes);
   static bool ApplyRecord(std::string_view aPayload, LogFileContent& aContent);
   static void DropCoveredEntries(const Snapshot& aSnapshot,
@@ -57,6 +81,7 @@
 
   JournalStorage& mStorage;
   HardState mHardState;
+  ConfirmedState mConfirmed;
   bool mFailed = false;
   std::size_t mTruncatedBytes = 0;
 };
--- a/Source/Daemon/Submissions.cxx
+++ b/Source/Daemon/Submissions.cxx
@@ -375,8 +375,8 @@
     [this] { return static_cast<double>(CountGroupsVoting()); });
   aMetrics.AddGauge(
     "almondspoke_submission_groups_failed",
-    "Submission groups that this instance takes no further "
-    "part in, since its disk failed",
+    "Submission groups that this instance takes no part in until its disk, "
+    "which refused a write, works again",
     [this] { return static_cast<double>(CountGroupsFailed()); });
   aMetrics.AddGauge(
     "almondspoke_executor_epoch",
--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -118,6 +118,7 @@
     });
   })
   , mChannel(aParts.mTransport)
+  , mStorageWatch(aParts.mLog)
   , mTimer(aParts.mContext)
 {
   AddSeeds(aSettings);
@@ -371,6 +372,7 @@
     mNextExpiryCheckAt = now + kWorkerExpiryCheckInterval;
     mDirectory.Expire(now);
   }
+  mStorageWatch.Observe(*mGroup);
   UpdateLeadership();
   mReportExchange.Tick();
   if (IsLeadingNow()) {
--- a/Source/Dispatch/CoordinatorNode.h
+++ b/Source/Dispatch/CoordinatorNode.h
@@ -23,6 +23,7 @@
 #include "Dispatch/RelayedWorkerCalls.h"
 #include "Dispatch/ReportExchange.h"
 #include "Dispatch/Services.h"
+#include "Dispatch/StorageWatch.h"
 #include "Dispatch/WorkerDirectory.h"
 #include "Transport/PeerRpc.h"
 #include "Transport/PeerTransport.h"
@@ -88,6 +89,8 @@
 
   const Coordinator& GetCoordinator() const { return mCoordinator; }
   CoreStatus ConsensusStatus() const { return mGroup->Status(); }
+  bool HasStorageFailed() const { return mGroup->HasFailed(); }
+  std::uint64_t StorageFailures() const { return mGroup->FailureCount(); }
   const RelayCounters& OrderCounters() const
   {
     return mRelayedCalls.Counters();
@@ -146,6 +149,7 @@
   ConsensusChannel mChannel;
   std::unique_ptr<FileJournalStorage> mStorage;
   std::unique_ptr<ConsensusGroup> mGroup;
+  StorageWatch mStorageWatch;
   asio::steady_timer mTimer;
   std::map<CallId, PeerRpc::Done> mOpenCalls;
   CallId mNextCallId = 1;
--- a/Source/Dispatch/DispatchMetrics.cxx
+++ b/Source/Dispatch/DispatchMetrics.cxx
@@ -232,6 +232,14 @@
     Gauge("almondspoke_dispatch_voters",
           "Voters of the group",
           static_cast<double>(consensus.mConfiguration.mVoters.size())));
+  aFamilies.push_back(
+    Gauge("almondspoke_dispatch_storage_failed",
+          "1 while this instance takes no part in the group, since its disk "
+          "refused a write",
+          mCoordinator->HasStorageFailed() ? 1 : 0));
+  aFamilies.push_back(Counter("almondspoke_dispatch_storage_failures_total",
+                              "Times that the disk refused a write",
+                              mCoordinator->StorageFailures()));
   aFamilies.push_back(Gauge("almondspoke_dispatch_commit_index",
                             "Last committed entry known here",
                             static_cast<double>(consensus.mCommitIndex)));
--- a/Tests/Consensus/ConsensusGroupTest.cxx
+++ b/Tests/Consensus/ConsensusGroupTest.cxx
@@ -201,6 +201,50 @@
   CHECK(fixture.Propose(other, "goes on"));
 }
 
+// Guards against review/1: nothing opened the journal again, so that a replica
+// whose disk refused one write never took part again.
+TEST_CASE("Group: replicas whose disks fail in turn rejoin by themselves")
+{
+  GroupFixture fixture({ "a", "b", "c" });
+  fixture.StartAll();
+  REQUIRE_FALSE(fixture.AwaitLeader().empty());
+  std::string expected;
+  for (const char* name : { "a", "b", "c" }) {
+    fixture.Disk(name).SetCapacity(0);
+    const InstanceName other = std::string(name) == "a" ? "b" : "a";
+    REQUIRE(Eventually([&] {
+      static_cast<void>(fixture.Propose(other, "x"));
+      return fixture.Group(name).HasFailed();
+    }));
+    CHECK(fixture.Propose(name, "y").error().Kind() == ErrorKind::NoQuorum);
+    fixture.Disk(name).Repair();
+    REQUIRE(Eventually([&] { return !fixture.Group(name).HasFailed(); }));
+    const std::string line = "after-" + std::string(name);
+    REQUIRE(
+      Eventually([&] { return fixture.Propose(name, line).has_value(); }));
+    CHECK(Eventually([&] {
+      return fixture.Machine(name).Lines().find(line) != std::string::npos;
+    }));
+    CHECK(fixture.Group(name).FailureCount() == 1);
+  }
+  CHECK(Eventually([&] {
+    return fixture.Machine("a").Lines() == fixture.Machine("b").Lines() &&
+           fixture.Machine("b").Lines() == fixture.Machine("c").Lines();
+  }));
+}
+
+TEST_CASE("Group: a group whose disk fails can be stopped")
+{
+  GroupFixture fixture({ "a" });
+  fixture.StartAll();
+  REQUIRE(fixture.AwaitLeader() == "a");
+  fixture.Disk("a").SetCapacity(0);
+  CHECK_FALSE(fixture.Propose("a", "x"));
+  REQUIRE(Eventually([&] { return fixture.Group("a").HasFailed(); }));
+  fixture.Group("a").Stop();
+  CHECK(fixture.Propose("a", "x").error().Kind() == ErrorKind::NotReady);
+}
+
 TEST_CASE("Group: a stopped group rejects requests immediately")
 {
   GroupFixture fixture({ "a" });
--- a/Tests/Consensus/CoreGroup.h
+++ b/Tests/Consensus/CoreGroup.h
@@ -58,17 +58,8 @@
       replica.mJournal = std::make_unique<Journal>(replica.mStorage);
       stored = replica.mJournal->Open(mIncarnations).value();
     }
-    CoreOptions options;
-    options.mSelf = aName;
-    options.mInitialVoters = mVoters;
-    options.mDurable = aDurable;
-    options.mLimits = mLimits;
-    options.mTargetVoterCount = mTargetVoterCount;
-    options.mMayBootstrap = mMayBootstrap;
-    options.mTimings = mTimings;
-    options.mSeed = ++mIncarnations;
-    replica.mCore =
-      std::make_unique<ConsensusCore>(options, std::move(stored), mNow);
+    replica.mCore = std::make_unique<ConsensusCore>(
+      OptionsOf(aName), std::move(stored), mNow);
     Collect(aName);
   }
 
@@ -80,6 +71,26 @@
     replica.mStorage.Crash(mRandom);
   }
 
+  /** Lets a replica whose storage has failed use it again, as the driver of a
+   * core does; returns false if the storage still fails. */
+  bool Reopen(const InstanceName& aName)
+  {
+    Replica& replica = mReplicas[aName];
+    Result<StoredState> opened = replica.mJournal->Open(++mIncarnations);
+    if (!opened && opened.error().Kind() == ErrorKind::StorageCorrupt) {
+      opened = replica.mJournal->Discard(mIncarnations);
+    }
+    if (!opened) {
+      return false;
+    }
+    CoreOptions options = OptionsOf(aName);
+    options.mAppliedIndex = replica.mApplied.size();
+    replica.mCore =
+      std::make_unique<ConsensusCore>(options, opened.value(), mNow);
+    Collect(aName);
+    return true;
+  }
+
   ConsensusCore& Core(const InstanceName& aName)
   {
     return *mReplicas.at(aName).mCore;
@@ -245,6 +256,20 @@
   TimePoint mNow{ std::chrono::hours(1) };
 
 private:
+  CoreOptions OptionsOf(const InstanceName& aName)
+  {
+    CoreOptions options;
+    options.mSelf = aName;
+    options.mInitialVoters = mVoters;
+    options.mDurable = mReplicas.at(aName).mDurable;
+    options.mLimits = mLimits;
+    options.mTargetVoterCount = mTargetVoterCount;
+    options.mMayBootstrap = mMayBootstrap;
+    options.mTimings = mTimings;
+    options.mSeed = ++mIncarnations;
+    return options;
+  }
+
   Result<std::uint64_t> ChangeVoters(const InstanceName& aLeader,
                                      const InstanceName& aName,
                                      bool aRemove)
@@ -303,4 +328,23 @@
   std::uint64_t mVoterChanges = 0;
 };
 
+/** Returns a replica of the group a, b, c other than aName. */
+inline InstanceName
+OtherThan(const InstanceName& aName)
+{
+  return aName == "a" ? "b" : "a";
+}
+
+/** Returns the replica of the group a, b, c besides the two. */
+inline InstanceName
+ThirdOf(const InstanceName& aFirst, const InstanceName& aSecond)
+{
+  for (const char* name : { "a", "b", "c" }) {
+    if (name != aFirst && name != aSecond) {
+      return name;
+    }
+  }
+  return {};
+}
+
 }
--- a/Tests/Consensus/CoreStorageTest.cxx
+++ b/Tests/Consensus/CoreStorageTest.cxx
@@ -4,30 +4,11 @@
 
 using namespace almondspoke;
 using almondspoke::testing::CoreGroup;
+using almondspoke::testing::OtherThan;
+using almondspoke::testing::ThirdOf;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace {
-
-InstanceName
-OtherThan(const InstanceName& aName)
-{
-  return aName == "a" ? "b" : "a";
-}
-
-InstanceName
-ThirdOf(const InstanceName& aFirst, const InstanceName& aSecond)
-{
-  for (const char* name : { "a", "b", "c" }) {
-    if (name != aFirst && name != aSecond) {
-      return name;
-    }
-  }
-  return {};
-}
-
-}
-
 TEST_CASE("Storage: a voter that lost its disk does not vote until readmitted")
 {
   CoreGroup group({ "a", "b", "c" });
--- a/Tests/Consensus/FaultSimulation.cxx
+++ b/Tests/Consensus/FaultSimulation.cxx
@@ -11,29 +11,6 @@
 constexpr milliseconds kStepTime{ 20 };
 constexpr int kFaultPhaseSteps = 700;
 constexpr int kRecoveryPhaseSteps = 6000;
-/** Longer than the phase with faults, so that no replica trusts outdated
- * storage while the peers with newer entries are unreachable. */
-constexpr milliseconds kVerifyTimeout{ 30000 };
-
-CoreOptions
-OptionsOf(const InstanceName& aName,
-          bool aDurable,
-          const std::vector<InstanceName>& aVoters,
-          std::uint64_t aSeed)
-{
-  CoreOptions options;
-  options.mSelf = aName;
-  options.mInitialVoters = aVoters;
-  options.mDurable = aDurable;
-  options.mSeed = aSeed;
-  options.mTimings.mVerifyTimeout = kVerifyTimeout;
-  options.mLimits.mMaxBatchEntries = 4;
-  options.mLimits.mMaxInflightMessages = 4;
-  options.mLimits.mMaxSnapshotChunkBytes = 2000;
-  options.mLimits.mCompactionEntries = 25;
-  options.mLimits.mMaxRetainedEntries = 5;
-  return options;
-}
 
 }
 
@@ -118,10 +95,8 @@
     stored = std::move(opened.value());
   }
   aNode.mApplied.clear();
-  aNode.mCore = std::make_unique<ConsensusCore>(
-    OptionsOf(aNode.mName, aNode.mDurable, mVoterNames, mRandom()),
-    std::move(stored),
-    mNow);
+  aNode.mCore =
+    std::make_unique<ConsensusCore>(OptionsOf(aNode), std::move(stored), mNow);
 }
 
 void
@@ -158,30 +133,6 @@
   }
 }
 
-void
-FaultSimulation::LoseOrRollBackDisk(Node& aNode)
-{
-  const std::size_t minority = (mVoters - 1) / 2;
-  if (!aNode.mDurable || aNode.mNeedsReadmission ||
-      CountNeedingReadmission() >= minority) {
-    return;
-  }
-  const bool lost = Chance(0.5);
-  if (!lost && !aNode.mBackup) {
-    return;
-  }
-  DropMessagesOf(aNode.mName);
-  aNode.mNeedsReadmission = true;
-  if (lost) {
-    ++mCounts.mDisksLost;
-    aNode.mStorage.SetFiles({});
-    aNode.mBackup.reset();
-    return;
-  }
-  ++mCounts.mDisksRolledBack;
-  aNode.mStorage.SetFiles(*aNode.mBackup);
-}
-
 void
 FaultSimulation::InjectFaults()
 {
@@ -273,35 +224,6 @@
   }
 }
 
-void
-FaultSimulation::WriteDisk(Node& aNode)
-{
-  if (aNode.mWrites.empty() || Chance(0.3)) {
-    return;
-  }
-  const std::vector<JournalWrite> writes = std::move(aNode.mWrites);
-  aNode.mWrites.clear();
-  if (!aNode.mDurable) {
-    aNode.mCore->DiskCompleted(mNow, writes.back().mSequence);
-    Collect(aNode);
-    return;
-  }
-  const Result<void> written = aNode.mJournal->Write(writes);
-  if (written) {
-    aNode.mCore->DiskCompleted(mNow, writes.back().mSequence);
-    Collect(aNode);
-    return;
-  }
-  if (Chance(0.5)) {
-    // The process crashes during the write.
-    CrashNode(aNode, RandomMs(0, 2000));
-    return;
-  }
-  ++mCounts.mDiskFailures;
-  aNode.mCore->DiskFailed(mNow);
-  Collect(aNode);
-}
-
 void
 FaultSimulation::Collect(Node& aNode)
 {
@@ -517,9 +439,8 @@
     if (!node->mCore || !IsRunning(*node)) {
       continue;
     }
-    const bool failed = node->mCore->Status(mNow).mRole == ReplicaRole::Failed;
-    if (failed && !mInjectsFaults) {
-      CrashNode(*node, milliseconds(0));
+    if (node->mCore->Status(mNow).mRole == ReplicaRole::Failed) {
+      ReopenDisk(*node);
       continue;
     }
     node->mCore->Tick(mNow);
@@ -540,7 +461,7 @@
   for (const auto& node : mNodes) {
     node->mFrozenUntil = mNow;
     node->mDownUntil = mNow;
-    node->mStorage.SetSyncFails(false);
+    node->mStorage.Repair();
   }
 }
 
--- a/Tests/Consensus/FaultSimulation.h
+++ b/Tests/Consensus/FaultSimulation.h
@@ -42,6 +42,7 @@
     std::uint64_t mDisksRolledBack = 0;
     std::uint64_t mLossesAfterReadmission = 0;
     std::uint64_t mDiskFailures = 0;
+    std::uint64_t mReopened = 0;
     std::uint64_t mReadmissions = 0;
     std::uint64_t mReads = 0;
     std::uint64_t mSnapshotsInstalled = 0;
@@ -73,6 +74,8 @@
     TimePoint mFrozenUntil{};
     std::optional<MemoryJournalStorage::Files> mBackup;
     bool mNeedsReadmission = false;
+    /** Next attempt to open storage that has failed. */
+    TimePoint mReopenAt{};
   };
   struct InFlightMessage
   {
@@ -88,10 +91,15 @@
   void InjectFaults();
   void LoseOrRollBackDisk(Node& aNode);
   void CrashNode(Node& aNode, std::chrono::milliseconds aDown);
+  CoreOptions OptionsOf(const Node& aNode);
   void StartNode(Node& aNode);
   void DropMessagesOf(const InstanceName& aName);
   void DeliverMessages();
   void WriteDisk(Node& aNode);
+  void FailDisk(Node& aNode);
+  /** Lets a replica whose storage has failed use it again, as the driver of a
+   * core does. */
+  void ReopenDisk(Node& aNode);
   void Propose();
   void Read();
   void Collect(Node& aNode);
--- a/Tests/Consensus/FaultSimulationTest.cxx
+++ b/Tests/Consensus/FaultSimulationTest.cxx
@@ -41,6 +41,7 @@
     mCounts.mDisksRolledBack += counts.mDisksRolledBack;
     mCounts.mLossesAfterReadmission += counts.mLossesAfterReadmission;
     mCounts.mDiskFailures += counts.mDiskFailures;
+    mCounts.mReopened += counts.mReopened;
     mCounts.mReadmissions += counts.mReadmissions;
     mCounts.mReads += counts.mReads;
     mCounts.mSnapshotsInstalled += counts.mSnapshotsInstalled;
@@ -97,9 +98,9 @@
                 << ", rolled back " << counts.mDisksRolledBack
                 << ", lost right after a readmission "
                 << counts.mLossesAfterReadmission << ", failed "
-                << counts.mDiskFailures << ", readmissions "
-                << counts.mReadmissions << ", reads " << counts.mReads
-                << ", snapshots " << counts.mSnapshotsInstalled
+                << counts.mDiskFailures << ", reopened " << counts.mReopened
+                << ", readmissions " << counts.mReadmissions << ", reads "
+                << counts.mReads << ", snapshots " << counts.mSnapshotsInstalled
                 << ", not recovered " << counts.mUnrecovered);
   std::string shown;
   for (std::size_t error = 0;
--- a/Tests/Consensus/JournalTest.cxx
+++ b/Tests/Consensus/JournalTest.cxx
@@ -260,6 +260,66 @@
         "the journal rejects writes because an earlier write failed");
 }
 
+TEST_CASE("Journal: stores anew what a failed sync left, before it is used")
+{
+  MemoryJournalStorage storage;
+  Journal journal(storage);
+  REQUIRE(journal.Open(5));
+  REQUIRE(journal.Write({ StateWrite(2), EntryWrite(1, 1) }));
+  storage.SetSyncFails(true);
+  REQUIRE_FALSE(journal.Write({ EntryWrite(2, 2) }));
+  CHECK(journal.Open(6).error().Kind() == ErrorKind::StorageFailed);
+  CHECK_FALSE(journal.Write({ EntryWrite(3, 2) }));
+  storage.SetSyncFails(false);
+  const StoredState state = journal.Open(6).value();
+  CHECK(state.mIdentity.mIncarnation == 5);
+  CHECK(state.mHardState.mTerm == 2);
+  REQUIRE(journal.Write({ EntryWrite(state.mEntries.size() + 1, 2) }));
+  std::mt19937_64 random(1);
+  storage.Crash(random);
+  CHECK(Reopen(storage).mEntries.size() == state.mEntries.size() + 1);
+}
+
+TEST_CASE("Journal: storage that lost a confirmed write is corrupt")
+{
+  MemoryJournalStorage storage;
+  Journal journal(storage);
+  REQUIRE(journal.Open(5));
+  JournalWrite state = StateWrite(2);
+  state.mHardState->mBootstrapId = 7;
+  REQUIRE(journal.Write({ state, EntryWrite(1, 1) }));
+  const MemoryJournalStorage::Files earlier = storage.Copy();
+  const auto reopen = [&](const MemoryJournalStorage::Files& aFiles) {
+    storage.SetSyncFails(true);
+    REQUIRE_FALSE(journal.Write({ EntryWrite(9, 9) }));
+    storage.SetSyncFails(false);
+    storage.SetFiles(aFiles);
+    return journal.Open(6);
+  };
+  SECTION("an entry")
+  {
+    REQUIRE(journal.Write({ EntryWrite(2, 2) }));
+    CHECK(reopen(earlier).error().Message() ==
+          "the storage lacks the confirmed log index 2");
+  }
+  SECTION("a vote")
+  {
+    state.mHardState->mVotedFor = { "b", 3 };
+    REQUIRE(journal.Write({ state }));
+    CHECK(reopen(earlier).error().Message() ==
+          "the storage lacks the confirmed vote of term 2");
+  }
+  SECTION("everything")
+  {
+    CHECK(reopen({}).error().Kind() == ErrorKind::StorageCorrupt);
+  }
+  const StoredState discarded = journal.Discard(8).value();
+  CHECK(discarded.mIdentity.mIncarnation == 8);
+  CHECK(discarded.mIdentity.mEverAdmitted);
+  REQUIRE(journal.Write({ EntryWrite(1, 3) }));
+  CHECK(Reopen(storage).mEntries.size() == 1);
+}
+
 TEST_CASE("Journal: an error for a damaged snapshot or identity names the file")
 {
   MemoryJournalStorage storage;
--- a/Tests/Processes/FaultTest.cxx
+++ b/Tests/Processes/FaultTest.cxx
@@ -301,6 +301,43 @@
   CHECK(cluster.MostStarts() == 1);
 }
 
+// Guards against review/1: after each voter's disk had refused a write for a
+// while, the group was gone although all processes ran on sound disks.
+TEST_CASE("Faults: instances whose disks fail in turn rejoin without a restart",
+          "[faults]")
+{
+  FaultInstallation cluster(ThreeVoters(), kZagrebGroup);
+  cluster.AddWorker("zagreb", "0");
+  REQUIRE(cluster.WaitUntilServing(1));
+  long version = 0;
+  for (const DiskState state : { DiskState::Full, DiskState::FailingSync }) {
+    for (int failed = 0; failed < 3; ++failed) {
+      INFO("disk state " << static_cast<int>(state) << " at "
+                         << cluster.Name(failed));
+      const int other = (failed + 1) % 3;
+      const std::string id = "change-" + std::to_string(version);
+      cluster.SetDisk(failed, state);
+      CHECK(Cluster::VersionOf(cluster.Apply(other, version, id)) ==
+            version + 1);
+      ++version;
+      cluster.Submit(other, kRequests, "zagreb:" + id, "deposit");
+      CHECK(Eventually([&] {
+        return cluster.Metric(failed, "configuration_role") == kFailedRole &&
+               cluster.Metric(failed, "submission_groups_failed") == 1;
+      }));
+      cluster.SetDisk(failed, DiskState::Healthy);
+      REQUIRE(WaitUntilVoter(cluster, failed));
+      REQUIRE(cluster.WaitUntilServing(1));
+      CHECK(cluster.Metric(failed, "submission_groups_failed") == 0);
+      CHECK(Cluster::VersionOf(cluster.Apply(failed, version, id + "-after")) ==
+            version + 1);
+      ++version;
+      CHECK(cluster.WaitForVersionOnAll(version));
+    }
+  }
+  CHECK(cluster.MostStarts() == 1);
+}
+
 TEST_CASE("Faults: a second voter is killed right after the repair of the "
           "first, and no acknowledged change is missing",
           "[faults]")
--- a/Tests/Support/MemoryJournalStorage.h
+++ b/Tests/Support/MemoryJournalStorage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <mutex>
@@ -21,6 +22,9 @@
     std::string mContent;
     /** Length of the prefix of mContent that is sure to survive a crash. */
     std::size_t mSynced = 0;
+    /** Whether a sync failed: the bytes after mSynced never become durable,
+     * even if they can be read and a later sync succeeds. */
+    bool mSyncFailed = false;
   };
   using Files = std::map<std::string, File>;
 
@@ -61,11 +65,14 @@
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     ++mSyncs;
+    File& file = mFiles[aName];
     if (!Step() || mSyncFails) {
+      file.mSyncFailed = true;
       return Failed(aName);
     }
-    File& file = mFiles[aName];
-    file.mSynced = file.mContent.size();
+    if (!file.mSyncFailed) {
+      file.mSynced = file.mContent.size();
+    }
     return Success();
   }
 
@@ -74,10 +81,11 @@
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     ++mSyncs;
-    if (!Step() || mSyncFails || aBytes.size() + Used() > mCapacity) {
+    const bool full = mCapacity < Used() + aBytes.size();
+    if (!Step() || mSyncFails || full) {
       return Failed(aName);
     }
-    mFiles[aName] = { std::string(aBytes), aBytes.size() };
+    mFiles[aName] = { std::string(aBytes), aBytes.size(), false };
     return Success();
   }
 
@@ -89,7 +97,10 @@
     }
     File& file = mFiles[aName];
     file.mContent.resize(aSize);
-    file.mSynced = aSize;
+    if (!file.mSyncFailed) {
+      file.mSynced = aSize;
+    }
+    file.mSynced = std::min(file.mSynced, aSize);
     return Success();
   }
 
@@ -104,8 +115,21 @@
   }
 
   /** Lets the next aSteps modifying operations succeed; all later ones fail
-   * until Crash(). */
-  void FailAfter(std::size_t aSteps) { mStepsLeft = aSteps; }
+   * until Crash() or Repair(). */
+  void FailAfter(std::size_t aSteps)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mStepsLeft = aSteps;
+  }
+
+  /** Ends all failures: the disk takes bytes again. */
+  void Repair()
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mStepsLeft.reset();
+    mSyncFails = false;
+    mCapacity = ~std::size_t{ 0 };
+  }
 
   /** Drops a random part of the unsynced content and ends the failures that
    * FailAfter() began. */
@@ -118,6 +142,7 @@
                                                       file.mContent.size());
       file.mContent.resize(kept(aRandom));
       file.mSynced = file.mContent.size();
+      file.mSyncFailed = false;
     }
     mStepsLeft.reset();
   }
