Consensus: Believes at a start only what it has stored anew

Change: what is read is stored anew, in files that are synced, before it is used, at a start as after a failure; the two former repairs of the log at a start go with it. As a start then has to write, a replica that starts on a disk that takes no bytes waits until it does, and its process goes on; a torn record had ended the process there before.

A start costs two syncs more.

--- a/Source/Consensus/ConsensusGroup.cxx
+++ b/Source/Consensus/ConsensusGroup.cxx
@@ -68,14 +68,11 @@
 Result<void>
 ConsensusGroup::Start()
 {
-  StoredState stored;
-  stored.mIdentity.mIncarnation = DrawIncarnation(mRandom);
-  if (mJournal) {
-    BOOST_OUTCOME_TRY(opened, OpenStorage());
-    stored = std::move(opened);
-  }
+  StoredState empty;
+  empty.mIdentity.mIncarnation = DrawIncarnation(mRandom);
+  const Result<StoredState> stored = mJournal ? OpenStorage() : empty;
   mInitialState = mMachine.TakeSnapshot();
-  mCore = MakeCore(std::move(stored));
+  mCore = MakeCore(stored ? stored.value() : empty);
   mNextTick = mClock.MonotonicNow();
   PublishStatus();
   mRunning = true;
@@ -87,6 +84,9 @@
   if (mJournal) {
     StartJournalWriter();
   }
+  if (!stored) {
+    OnDiskFailed(stored.error());
+  }
   mCoreThread = std::thread([this] { RunCore(); });
   return Success();
 }
@@ -139,10 +139,6 @@
     });
   };
   callbacks.mOnFailed = [this](const Error& aError) {
-    LOG(ERROR) << "group=" << mOptions.mGroup
-               << " takes no further part until its storage can be opened "
-                  "again: "
-               << aError.Message();
     Post([this, aError] { OnDiskFailed(aError); });
   };
   callbacks.mOpen = [this] { return OpenStorage(); };
--- a/Source/Consensus/ConsensusGroup.h
+++ b/Source/Consensus/ConsensusGroup.h
@@ -82,8 +82,9 @@
   ConsensusGroup& operator=(const ConsensusGroup&) = delete;
 
   /** Reads the storage and starts the threads. Storage with a wrong checksum
-   * is discarded, and the replica rejoins like one whose disk was lost.
-   * Errors: StorageFailed. */
+   * is discarded, and the replica rejoins like one whose disk was lost. A
+   * replica whose storage cannot be opened is inactive until it can be; see
+   * HasFailed(). */
   Result<void> Start();
 
   /** Stops the threads. Pending requests fail with NoQuorum or
--- a/Source/Consensus/ConsensusGroupProposals.cxx
+++ b/Source/Consensus/ConsensusGroupProposals.cxx
@@ -264,6 +264,9 @@
 void
 ConsensusGroup::OnDiskFailed(const Error& aError)
 {
+  LOG(ERROR) << "group=" << mOptions.mGroup
+             << " takes no further part until its storage can be opened again: "
+             << aError.Message();
   mCore->DiskFailed(mClock.MonotonicNow());
   {
     const std::lock_guard<std::mutex> lock(mPublishedMutex);
--- a/Source/Consensus/Journal.cxx
+++ b/Source/Consensus/Journal.cxx
@@ -183,9 +183,7 @@
 {
   BOOST_OUTCOME_TRY(state, ReadState(aNewIncarnation));
   BOOST_OUTCOME_TRY(CheckConfirmed(state));
-  if (mFailed) {
-    BOOST_OUTCOME_TRY(StoreAnew(state));
-  }
+  BOOST_OUTCOME_TRY(StoreAnew(state));
   mFailed = false;
   mHardState = state.mHardState;
   mConfirmed = { state.mHardState, LastPosition(state) };
@@ -207,6 +205,7 @@
 Journal::ReadState(StorageIncarnation aNewIncarnation)
 {
   StoredState state;
+  mTruncatedBytes = 0;
   BOOST_OUTCOME_TRY(identity, mStorage.Read(kIdentityFile));
   if (!identity) {
     return CreateIdentity(aNewIncarnation);
@@ -223,10 +222,6 @@
   const std::string bytes = file.value_or(std::string());
   LogFileContent content = Parse(bytes);
   mTruncatedBytes = bytes.size() - content.mValidBytes;
-  if (mTruncatedBytes > 0) {
-    BOOST_OUTCOME_TRY(mStorage.Truncate(kLogFile, content.mValidBytes));
-  }
-  const LogIndex base = content.mBase.mIndex;
   if (snapshot) {
     DropCoveredEntries(*snapshot, content);
   }
@@ -236,10 +231,6 @@
                  "the snapshot before log index " +
                    std::to_string(content.mBase.mIndex + 1) + " is missing");
   }
-  if (content.mBase.mIndex != base) {
-    // A crash interrupted WriteSnapshot() before it rewrote the log.
-    BOOST_OUTCOME_TRY(RewriteLog(content));
-  }
   state.mHardState = std::move(content.mHardState);
   state.mSnapshot = std::move(snapshot);
   state.mEntries = std::move(content.mEntries);
@@ -262,6 +253,11 @@
 Result<void>
 Journal::StoreAnew(const StoredState& aState)
 {
+  const bool isEmpty = aState.mEntries.empty() && !aState.mSnapshot &&
+                       aState.mHardState.mTerm == 0;
+  if (isEmpty && mTruncatedBytes == 0) {
+    return Success();
+  }
   LogFileContent content;
   if (aState.mSnapshot) {
     content.mBase = { aState.mSnapshot->mTerm, aState.mSnapshot->mIndex };
--- a/Source/Consensus/Journal.h
+++ b/Source/Consensus/Journal.h
@@ -23,13 +23,14 @@
 public:
   explicit Journal(JournalStorage& aStorage);
 
-  /** Reads the state. Truncates an incomplete record that a crash left at the
-   * end of the log. Empty storage gets the identity aNewIncarnation.
+  /** Reads the state and stores it anew, since neither what a failed sync was
+   * to store nor what a killed process had written without a sync survives a
+   * loss of power. An incomplete record at the end of the log is dropped. Empty
+   * storage gets the identity aNewIncarnation.
    *
-   * After a failed write it may be called until it succeeds: what it returns
-   * has then been stored anew, since nothing that a failed sync was to store
-   * can be believed. It fails with StorageCorrupt if the storage lacks what
-   * this journal has confirmed as durable.
+   * After a failed write it may be called until it succeeds. It fails with
+   * StorageCorrupt if the storage lacks what this journal has confirmed as
+   * durable.
    * Errors: StorageFailed, StorageCorrupt. */
   Result<StoredState> Open(StorageIncarnation aNewIncarnation);
 
@@ -41,7 +42,7 @@
    * snapshot or a new identity. */
   Result<void> Write(const std::vector<JournalWrite>& aWrites);
 
-  /** Number of bytes that Open() truncated from the log. */
+  /** Number of bytes that Open() dropped from the log. */
   std::size_t TruncatedBytes() const { return mTruncatedBytes; }
 
 private:
--- a/Tests/Consensus/ConsensusGroupTest.cxx
+++ b/Tests/Consensus/ConsensusGroupTest.cxx
@@ -233,6 +233,27 @@
   }));
 }
 
+// Guards against an instance that ends at its start, with all else that it
+// serves, since its disk is full at that moment.
+TEST_CASE(
+  "Group: a replica that starts on a full disk rejoins once it has room")
+{
+  GroupFixture fixture({ "a", "b", "c" });
+  fixture.StartAll();
+  REQUIRE_FALSE(fixture.AwaitLeader().empty());
+  REQUIRE(fixture.Propose("a", "kept"));
+  fixture.Stop("a");
+  fixture.Disk("a").SetSyncFails(true);
+  fixture.Disk("a").SetCapacity(0);
+  fixture.Start("a");
+  REQUIRE(fixture.mStarted);
+  CHECK(fixture.Group("a").HasFailed());
+  CHECK(fixture.Propose("a", "x").error().Kind() == ErrorKind::NoQuorum);
+  fixture.Disk("a").Repair();
+  REQUIRE(Eventually([&] { return !fixture.Group("a").HasFailed(); }));
+  CHECK(Eventually([&] { return fixture.Machine("a").Lines() == "kept\n"; }));
+}
+
 TEST_CASE("Group: a group whose disk fails can be stopped")
 {
   GroupFixture fixture({ "a" });
--- a/Tests/Consensus/JournalTest.cxx
+++ b/Tests/Consensus/JournalTest.cxx
@@ -280,6 +280,26 @@
   CHECK(Reopen(storage).mEntries.size() == state.mEntries.size() + 1);
 }
 
+// Guards against a process that was killed before a sync, starts again,
+// acknowledges what it reads and loses it with the power.
+TEST_CASE("Journal: what is read at the start survives a loss of power")
+{
+  MemoryJournalStorage storage;
+  {
+    Journal killed(storage);
+    REQUIRE(killed.Open(5));
+    REQUIRE(killed.Write({ StateWrite(2), EntryWrite(1, 1) }));
+    storage.SetSyncFails(true);
+    REQUIRE_FALSE(killed.Write({ EntryWrite(2, 2) }));
+    storage.SetSyncFails(false);
+  }
+  Journal journal(storage);
+  REQUIRE(journal.Open(6).value().mEntries.size() == 2);
+  std::mt19937_64 random(1);
+  storage.Crash(random);
+  CHECK(Reopen(storage).mEntries.size() == 2);
+}
+
 TEST_CASE("Journal: storage that lost a confirmed write is corrupt")
 {
   MemoryJournalStorage storage;
