--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -23,7 +23,6 @@
 constexpr milliseconds kLeadingTickInterval{ 10 };
 constexpr milliseconds kIdleTickInterval{ 25 };
 constexpr milliseconds kPeerQueryInterval{ 1000 };
-constexpr milliseconds kPeerExpiry{ 6000 };
 constexpr milliseconds kWorkerExpiryCheckInterval{ 1000 };
 
 /** A worker is removed after this many report intervals without a report. Its
@@ -167,7 +166,7 @@
 CoordinatorNode::AddSeeds(const NodeSettings& aSettings)
 {
   for (const InstanceName& seed : SeedNamesOf(aSettings)) {
-    mSeeds.insert(seed);
+    mContacts.AddSeed(seed);
   }
 }
 
@@ -236,7 +235,7 @@
   const LeaderQuery& query = unpacked.value();
   const Clock::Monotonic now = mClock.MonotonicNow();
   if (query.mFromCoordinator) {
-    mContactedPeers[aFrom] = now;
+    mContacts.OnMessage(aFrom, now);
   }
   if (query.mWantsLocalLeader && query.mDataCentre == mSettings.mDataCentre) {
     mLocalLead.OnRequested(now);
@@ -250,9 +249,7 @@
   status.mClock = PeerTimeOf(mClock);
   status.mTerm = mGroup->CurrentTerm();
   status.mLeader = mGroup->Leader().value_or("");
-  for (const auto& [peer, seen] : mContactedPeers) {
-    status.mMembers.push_back(peer);
-  }
+  status.mMembers = mContacts.Contacted();
   status.mMembers.push_back(mSelf);
   aDone(PackMessage(status));
 }
@@ -509,12 +506,7 @@
 std::set<InstanceName>
 CoordinatorNode::Peers() const
 {
-  std::set<InstanceName> peers = mSeeds;
-  for (const auto* contacts : { &mContactedPeers, &mReportedPeers }) {
-    for (const auto& [peer, seen] : *contacts) {
-      peers.insert(peer);
-    }
-  }
+  std::set<InstanceName> peers = mContacts.All();
   for (const ReplicaId& voter : mGroup->Status().mConfiguration.mVoters) {
     peers.insert(voter.mName);
   }
@@ -525,13 +517,7 @@
 void
 CoordinatorNode::UpdatePeers()
 {
-  const Clock::Monotonic now = mClock.MonotonicNow();
-  for (auto* contacts : { &mContactedPeers, &mReportedPeers }) {
-    for (auto peer = contacts->begin(); peer != contacts->end();) {
-      const bool isExpired = now - peer->second > kPeerExpiry;
-      peer = isExpired ? contacts->erase(peer) : std::next(peer);
-    }
-  }
+  mContacts.Expire(mClock.MonotonicNow());
   mReportExchange.SetPeers(Peers());
 }
 
@@ -568,14 +554,12 @@
     return;
   }
   const Clock::Monotonic now = mClock.MonotonicNow();
-  mContactedPeers[aFrom] = now;
+  mContacts.OnMessage(aFrom, now);
   mRelays.Update(aFrom,
                  status.value().mDataCentre,
                  status.value().mRelaysOrders,
                  status.value().mClock);
-  for (const InstanceName& member : status.value().mMembers) {
-    mReportedPeers[member] = now;
-  }
+  mContacts.OnNamed(status.value().mMembers, now);
 }
 
 void
--- a/Source/Dispatch/CoordinatorNode.h
+++ b/Source/Dispatch/CoordinatorNode.h
@@ -19,6 +19,7 @@
 #include "Dispatch/LocalLeadership.h"
 #include "Dispatch/NodeSettings.h"
 #include "Dispatch/OrderRelay.h"
+#include "Dispatch/PeerContacts.h"
 #include "Dispatch/RelayDirectory.h"
 #include "Dispatch/RelayedWorkerCalls.h"
 #include "Dispatch/ReportExchange.h"
@@ -160,12 +161,7 @@
    * for none. */
   Term mFencingTerm = 0;
   bool mDraining = false;
-  std::set<InstanceName> mSeeds;
-  /** Coordinators that this one has exchanged messages with, each with the
-   * latest time. */
-  std::map<InstanceName, Clock::Monotonic> mContactedPeers;
-  /** Coordinators named in the answers of others, each with the latest time. */
-  std::map<InstanceName, Clock::Monotonic> mReportedPeers;
+  PeerContacts mContacts;
   Clock::Monotonic mNextPeerUpdateAt{};
   Clock::Monotonic mNextExpiryCheckAt{};
 };
