Tests: Checks that a replica which rejoined serves keyed work again

Cause: the only keyed requests of the case were the ones that make the failing replica write; they are sent once each, while the leader of the submission group may be the one whose disk fails, and are refused then. Nothing said that one of the six had to be served; the count of starts took it for granted.

Change: after each rejoin a further request, at the instance that rejoined, must be served in time. The count stays as it was: no request starts twice, and at least one starts, now for a reason.

--- a/Tests/Processes/FaultTest.cxx
+++ b/Tests/Processes/FaultTest.cxx
@@ -320,6 +320,8 @@
       CHECK(Cluster::VersionOf(cluster.Apply(other, version, id)) ==
             version + 1);
       ++version;
+      // Claims a key, so that the replica of the submission group writes as
+      // well. It may lead the group, and the request is refused then.
       cluster.Submit(other, kRequests, "zagreb:" + id, "deposit");
       CHECK(Eventually([&] {
         return cluster.Metric(failed, "configuration_role") == kFailedRole &&
@@ -333,6 +335,13 @@
             version + 1);
       ++version;
       CHECK(cluster.WaitForVersionOnAll(version));
+      HttpResponse answer;
+      CHECK(Eventually([&] {
+        answer = cluster.Submit(
+          failed, kRequests, "zagreb:" + id + "-after", "deposit");
+        return answer.mStatus == 200;
+      }));
+      INFO(answer.mBody);
     }
   }
   CHECK(cluster.MostStarts() == 1);
