--- a/Source/Consensus/ConsensusGroup.h
+++ b/Source/Consensus/ConsensusGroup.h
@@ -215,7 +215,7 @@
   std::unique_ptr<Journal> mJournal;
   std::unique_ptr<JournalWriter> mJournalWriter;
 
-  /** Draws incarnations; used by OpenStorage() only. */
+  /** Draws incarnations; used by Start(), and then on the journal thread. */
   std::mt19937_64 mRandom;
 
   // Used on the core thread only.
