Dispatch: Shows where orders wait on their way to the workers

The leader now logs once a second, for each data centre, how its orders to start runs fare, and a relay what it takes and how long it waited; gateways log when they lose and find their leader. Metrics for the same: waits and expired orders of a relay, losses of a leader. No decision is changed.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -78,6 +78,7 @@
   , mLog(aLog)
   , mRandom(aOptions.mSeed)
   , mOrderTimeouts(aOptions.mMaxOrderTimeout)
+  , mFlow(aLog)
 {
 }
 
@@ -134,6 +135,7 @@
   mScope = {};
   mIndex.Clear();
   mTimers.Clear();
+  mFlow.Clear();
   mWorkers.clear();
   mReady.Clear();
   mLastTriedInTurn = {};
@@ -497,6 +499,7 @@
   ScheduleInTurn();
   EnforceQueueTimeLimits(now);
   RemoveExpired(now);
+  mFlow.Tick(now);
   FlushRecords();
 }
 
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -21,6 +21,7 @@
 #include "Dispatch/DispatchJob.h"
 #include "Dispatch/DispatchState.h"
 #include "Dispatch/LatencyHistogram.h"
+#include "Dispatch/OrderFlow.h"
 #include "Dispatch/OrderTimeoutEstimator.h"
 #include "Dispatch/OverloadDetector.h"
 #include "Dispatch/ReadyQueue.h"
@@ -387,6 +388,7 @@
   EventLog& mLog;
   std::mt19937_64 mRandom;
   OrderTimeoutEstimator mOrderTimeouts;
+  OrderFlow mFlow;
 
   bool mLeading = false;
   bool mRecoveryComplete = false;
--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -372,6 +372,7 @@
   mStorageWatch.Observe(*mGroup);
   UpdateLeadership();
   mReportExchange.Tick();
+  mOrderRelay.Tick();
   if (IsLeadingNow()) {
     mCoordinator.Tick();
   }
--- a/Source/Dispatch/CoordinatorNode.h
+++ b/Source/Dispatch/CoordinatorNode.h
@@ -99,6 +99,7 @@
   /** Number of orders that this instance is sending for a leader. */
   std::size_t OrdersInFlight() const { return mOrderRelay.OrdersInFlight(); }
   std::size_t KnownWorkerCount() const { return mDirectory.Size(); }
+  const RelayLoad& OrdersTaken() const { return mOrderRelay.Load(); }
   /** Numbers of reports that were ignored, by their defect. */
   const ReportExchange::DefectCounts& IgnoredReports() const
   {
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -130,14 +130,19 @@
           std::int64_t{
             duration_cast<milliseconds>(now - aJob.mArrivedAt).count() })
     .With("free_mcores", aWorker.Free().mMilliCores);
+  mFlow.OnOrdered(order.mTarget.mDataCentre);
   mCalls.Start(
     order,
-    mOrderTimeouts.Timeout(mClock.MonotonicNow()),
-    [this, fence = mFence, boot = order.mTarget.mBoot, started = order.mRun](
+    mOrderTimeouts.Timeout(now),
+    [this, fence = mFence, target = order.mTarget, started = order.mRun, now](
       const OrderResult& aResult) {
-      if (mLeading && fence == mFence) {
-        OnStarted(boot, started, aResult);
+      if (!mLeading || fence != mFence) {
+        return;
       }
+      mFlow.OnEnded(target.mDataCentre,
+                    aResult.mOutcome,
+                    duration_cast<milliseconds>(mClock.MonotonicNow() - now));
+      OnStarted(target.mBoot, started, aResult);
     });
 }
 
--- a/Source/Dispatch/DispatchMetrics.cxx
+++ b/Source/Dispatch/DispatchMetrics.cxx
@@ -81,7 +81,7 @@
     &RelayCounters::mUnanswered },
 } };
 
-constexpr std::array<CounterRow<GatewayCounters>, 5> kGatewayCounters = { {
+constexpr std::array<CounterRow<GatewayCounters>, 6> kGatewayCounters = { {
   { "almondspoke_gateway_calls_total",
     "Calls of callers",
     &GatewayCounters::mCalls },
@@ -97,6 +97,9 @@
   { "almondspoke_gateway_calls_local_total",
     "Calls that went to an instance that leads this data centre alone",
     &GatewayCounters::mLocal },
+  { "almondspoke_gateway_leader_lost_total",
+    "Times that the leader was not known any more",
+    &GatewayCounters::mLeaderLost },
 } };
 
 MetricFamily
@@ -281,6 +284,18 @@
     Gauge("almondspoke_dispatch_relay_orders_open",
           "Orders that this instance is sending for a leader",
           static_cast<double>(mCoordinator->OrdersInFlight())));
+  const RelayLoad& load = mCoordinator->OrdersTaken();
+  aFamilies.push_back(Counter("almondspoke_dispatch_relay_orders_taken_total",
+                              "Orders that leaders gave to this instance",
+                              load.mTaken));
+  aFamilies.push_back(Counter("almondspoke_dispatch_relay_orders_expired_total",
+                              "Orders that came to this instance too late to "
+                              "be sent",
+                              load.mExpired));
+  aFamilies.push_back(Histogram("almondspoke_dispatch_relay_wait_seconds",
+                                "Time from an order of a leader to its "
+                                "handling by this instance",
+                                load.mWaits));
   aFamilies.push_back(Histogram("almondspoke_dispatch_job_seconds",
                                 "Time from the arrival of a job to its end",
                                 coordinator.Latencies().mJobs));
--- a/Source/Dispatch/Gateway.cxx
+++ b/Source/Dispatch/Gateway.cxx
@@ -262,6 +262,13 @@
 {
   const TimePoint now = mClock.MonotonicNow();
   const std::optional<InstanceName> leader = mFinder.Leader();
+  mCounters.mLeaderLost += mWasLeaderKnown && !leader ? 1 : 0;
+  if (mWasLeaderKnown != leader.has_value()) {
+    EventLine(mLog, leader ? "leader-known" : "leader-unknown")
+      .With("leader", leader.value_or(""))
+      .With("open_calls", std::uint64_t{ mCalls.size() });
+  }
+  mWasLeaderKnown = leader.has_value();
   std::vector<std::uint64_t> expired;
   std::vector<std::uint64_t> sendable;
   for (auto& [id, call] : mCalls) {
--- a/Source/Dispatch/Gateway.h
+++ b/Source/Dispatch/Gateway.h
@@ -28,6 +28,8 @@
   std::uint64_t mUnknown = 0;
   /** Times that a call was sent to a local leader. */
   std::uint64_t mLocal = 0;
+  /** Times that the leader was not known any more. */
+  std::uint64_t mLeaderLost = 0;
 };
 
 /** \brief Forwards callers' calls to the leader and returns its replies.
@@ -107,6 +109,7 @@
   /** Highest manifest version in the answers so far. */
   std::uint64_t mManifestVersion = 0;
   std::uint64_t mNextCallId = 1;
+  bool mWasLeaderKnown = false;
   std::minstd_rand mRandomEngine;
   GatewayCounters mCounters;
   LatencyHistogram mLatencies;
--- a/Source/Dispatch/OrderMessages.h
+++ b/Source/Dispatch/OrderMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -13,6 +14,10 @@
 /** RPC method by which a leader lets another coordinator send an order. */
 inline constexpr const char* kRelayMethod = "dispatch.relay";
 
+/** Time for the way to the relay and back, in addition to the time that the
+ * worker has to answer. */
+inline constexpr std::chrono::milliseconds kRelayMargin{ 150 };
+
 /** \brief Kind of an order to a worker. */
 enum class OrderKind : std::uint8_t
 {
--- a/Source/Dispatch/OrderRelay.cxx
+++ b/Source/Dispatch/OrderRelay.cxx
@@ -12,6 +12,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr milliseconds kLineInterval{ 1000 };
+
 }
 
 OrderRelay::OrderRelay(const Clock& aClock,
@@ -60,6 +62,8 @@
                 "unknown kind of order " + std::to_string(kind)));
     return;
   }
+  ++mLoad.mTaken;
+  CountWait(order.value());
   const Result<void> check = Check(order.value());
   if (!check) {
     aDone(check.error());
@@ -69,6 +73,43 @@
   (this->*kHandlers[kind])(order.value(), std::move(aDone));
 }
 
+// The leader lets an order expire after the time that the worker has to answer
+// and a margin for the way (kRelayMargin).
+void
+OrderRelay::CountWait(const RelayedOrder& aOrder)
+{
+  if (aOrder.mExpiresAt == 0) {
+    return;
+  }
+  const milliseconds left(aOrder.mExpiresAt - PeerTimeOf(mClock));
+  const milliseconds waited = std::max(
+    milliseconds(0), milliseconds(aOrder.mTimeoutMs) + kRelayMargin - left);
+  mLoad.mExpired += left.count() <= 0 ? 1 : 0;
+  mLoad.mWaits.Add(waited);
+  mLongestWait = std::max(mLongestWait, waited);
+}
+
+void
+OrderRelay::Tick()
+{
+  const Clock::Monotonic now = mClock.MonotonicNow();
+  if (now < mNextLineAt) {
+    return;
+  }
+  mNextLineAt = now + kLineInterval;
+  if (mLoad.mTaken == mTakenBefore) {
+    return;
+  }
+  EventLine(mLog, "relay-load")
+    .With("taken", mLoad.mTaken - mTakenBefore)
+    .With("expired", mLoad.mExpired - mExpiredBefore)
+    .With("longest_wait_ms", std::int64_t{ mLongestWait.count() })
+    .With("open", std::uint64_t{ mInFlight });
+  mTakenBefore = mLoad.mTaken;
+  mExpiredBefore = mLoad.mExpired;
+  mLongestWait = milliseconds(0);
+}
+
 Result<void>
 OrderRelay::Check(const RelayedOrder& aOrder) const
 {
--- a/Source/Dispatch/OrderRelay.h
+++ b/Source/Dispatch/OrderRelay.h
@@ -9,12 +9,24 @@
 #include "Base/EventLog.h"
 #include "Base/Result.h"
 #include "Consensus/ConsensusTypes.h"
+#include "Dispatch/LatencyHistogram.h"
 #include "Dispatch/OrderMessages.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Transport/PeerRpc.h"
 
 namespace almondspoke::dispatch {
 
+/** \brief Totals of the orders that a relay was given. */
+struct RelayLoad
+{
+  std::uint64_t mTaken = 0;
+  /** Orders that were not sent, since their leader did not wait any more. */
+  std::uint64_t mExpired = 0;
+  /** Time that the orders of which this is known have waited on their way here,
+   * and for this instance. */
+  LatencyHistogram mWaits;
+};
+
 /** \brief Sends orders to workers for the leader (see RelayedWorkerCalls).
  *
  * It decides nothing. It refuses the orders of a leader if it knows of a later
@@ -40,10 +52,15 @@
   bool IsDraining() const { return mDraining; }
   /** Number of orders whose workers have not answered. */
   std::size_t OrdersInFlight() const { return mInFlight; }
+  const RelayLoad& Load() const { return mLoad; }
+
+  /** Logs once a second what was taken. */
+  void Tick();
 
 private:
   using Handler = void (OrderRelay::*)(const RelayedOrder&, PeerRpc::Done);
 
+  void CountWait(const RelayedOrder& aOrder);
   void OnOrder(const std::string& aRequest, PeerRpc::Done aDone);
   void SendStart(const RelayedOrder& aOrder, PeerRpc::Done aDone);
   void SendStop(const RelayedOrder& aOrder, PeerRpc::Done aDone);
@@ -65,6 +82,12 @@
   const std::function<Term()> mCurrentTerm;
   bool mDraining = false;
   std::size_t mInFlight = 0;
+  RelayLoad mLoad;
+  /** Totals and longest wait at the time of the last line, and since then. */
+  std::uint64_t mTakenBefore = 0;
+  std::uint64_t mExpiredBefore = 0;
+  std::chrono::milliseconds mLongestWait{ 0 };
+  Clock::Monotonic mNextLineAt{};
 };
 
 }
--- a/Source/Dispatch/RelayedWorkerCalls.cxx
+++ b/Source/Dispatch/RelayedWorkerCalls.cxx
@@ -10,10 +10,6 @@
 
 using std::chrono::milliseconds;
 
-/** Time for the way to the relay and back, in addition to the time that the
- * worker has to answer. */
-constexpr milliseconds kRelayMargin{ 150 };
-
 template<typename Order>
 RelayedOrder
 OrderFor(OrderKind aKind, const Order& aOrder, milliseconds aTimeout)
