Dispatch: Judges slow runs by the clock of their worker

What callers saw: under load the jobs of every kind fell to a tenth, and stayed there after the load had gone. Cause: a run's time was counted from its order to the arrival of a list, so that each wait on the way made sound runs seem slow. They were stopped, which took more orders than their start, and started again, behind the same orders. Change: the time that a run has been worked on is what the worker's clock shows in its list less what it showed when it first confirmed the run.

--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -364,8 +364,7 @@
   void OnUnanswered(WorkerSession& aWorker);
   void ProcessEnds(WorkerSession& aWorker, const std::vector<EndedRun>& aEnds);
   void ProcessEnd(WorkerSession& aWorker, const EndedRun& aEnd);
-  void ProcessRunning(WorkerSession& aWorker,
-                      const std::vector<ActiveRun>& aRunning);
+  void ProcessRunning(WorkerSession& aWorker, const HoldResult& aLists);
   void AddOrphan(WorkerSession& aWorker, const ActiveRun& aRun);
   void RemoveUnlistedRuns(WorkerSession& aWorker,
                           std::uint64_t aHold,
--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -160,7 +160,7 @@
     worker.mAreListsRead || (isUnderFence && aResult.mIsEndListComplete);
   RegisterWorker(worker);
   ProcessEnds(worker, aResult.mEnded);
-  ProcessRunning(worker, aResult.mRunning);
+  ProcessRunning(worker, aResult);
   if (aResult.mIsRunningListComplete && aResult.mIsEndListComplete) {
     RemoveUnlistedRuns(worker, aHold, aResult.mRunning);
   }
@@ -299,11 +299,10 @@
 }
 
 void
-Coordinator::ProcessRunning(WorkerSession& aWorker,
-                            const std::vector<ActiveRun>& aRunning)
+Coordinator::ProcessRunning(WorkerSession& aWorker, const HoldResult& aLists)
 {
   const TimePoint now = mClock.MonotonicNow();
-  for (const ActiveRun& listed : aRunning) {
+  for (const ActiveRun& listed : aLists.mRunning) {
     TrackedRun* run = aWorker.Find(listed.mRun.mTask);
     if (run == nullptr || run->mNumber != listed.mRun.mNumber) {
       AddOrphan(aWorker, listed);
@@ -318,7 +317,9 @@
       run->mIgnoreHoldsUpTo = aWorker.mHoldsSent;
     }
     run->mIsLocated = true;
+    run->Confirm(aLists.mClock);
     run->mPercent = listed.mPercent;
+    run->mProgressClock = aLists.mClock;
     run->mProgressReportedAt = now;
   }
 }
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -174,6 +174,7 @@
   if (run->mPhase == RunPhase::Starting) {
     run->mPhase = RunPhase::Running;
   }
+  run->Confirm(aResult.mClock);
   // The clock of a later boot begins anew.
   run->mIsLocated = run->mIsLocated || aResult.mClock >= run->mMinClockAtStart;
   Hold(*worker, !run->mIsLocated);
@@ -377,13 +378,14 @@
     isMeasured ? measured : milliseconds(aJob.Step(aTask).mEstimateMs);
   const auto minObserved =
     expected * kMinObservedPercent / kHundredPercent + kMinObservedTime;
-  const auto observed = aRun.mProgressReportedAt - aRun.mLastOrderAt;
+  const milliseconds observed = aRun.ObservedTime();
   if (observed < minObserved || aRun.mPercent >= kHundredPercent) {
     return false;
   }
   const auto projected =
     observed * kHundredPercent / std::max<int>(1, aRun.mPercent);
-  const auto remaining = projected - (aNow - aRun.mLastOrderAt);
+  const auto remaining =
+    projected - observed - (aNow - aRun.mProgressReportedAt);
   return projected > expected * (isMeasured ? kStragglerFactorMeasured
                                             : kStragglerFactorEstimated) &&
          remaining > expected + kMinObservedTime;
@@ -408,7 +410,8 @@
       .With("task", task.mIndex)
       .With("run", run.mNumber)
       .With("worker", aWorker.Report().mBoot.mId)
-      .With("ran_ms",
+      .With("ran_ms", std::int64_t{ run.ObservedTime().count() })
+      .With("since_order_ms",
             std::int64_t{
               duration_cast<milliseconds>(aNow - run.mLastOrderAt).count() })
       .With("percent", run.mPercent)
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -52,8 +52,28 @@
   /** Time of the latest start or stop order, or of the answer to the latest
    * stop order. */
   Clock::Monotonic mLastOrderAt{};
+  /** What the worker's clock showed when the worker first confirmed the run;
+   * zero before that. */
+  WorkerTime mConfirmedClock = 0;
   std::uint32_t mPercent = 0;
+  /** What the worker's clock showed when it listed this percentage, and when
+   * the list arrived. */
+  WorkerTime mProgressClock = 0;
   Clock::Monotonic mProgressReportedAt{};
+
+  /** Returns for how long the worker has worked on the run, as far as it has
+   * been shown. The time that orders and lists take on their way is not in it.
+   */
+  std::chrono::milliseconds ObservedTime() const
+  {
+    return std::chrono::milliseconds(
+      mConfirmedClock > 0 ? mProgressClock - mConfirmedClock : 0);
+  }
+  /** Records that the worker had the run when its clock showed a time. */
+  void Confirm(WorkerTime aClock)
+  {
+    mConfirmedClock = mConfirmedClock > 0 ? mConfirmedClock : aClock;
+  }
 };
 
 class WorkerSession;
--- a/Tests/Dispatch/ScriptedLeader.h
+++ b/Tests/Dispatch/ScriptedLeader.h
@@ -152,6 +152,13 @@
   {
     AnswerHoldAs(0, 1000 + mElapsedMs, std::move(aRunning), std::move(aEnded));
   }
+  /** Answers the oldest hold order with lists that were made when the worker's
+   * clock showed a time. */
+  void AnswerHoldOf(dispatch::WorkerTime aClock,
+                    std::vector<dispatch::ActiveRun> aRunning)
+  {
+    AnswerHoldAs(0, aClock, std::move(aRunning), {});
+  }
   /** Answers the oldest hold order with a part of the ends. */
   void AnswerHoldInPart(std::vector<dispatch::EndedRun> aEnded)
   {
