--- a/Tests/Dispatch/SimulatedInstallation.cxx
+++ b/Tests/Dispatch/SimulatedInstallation.cxx
@@ -13,7 +13,7 @@
 constexpr Term kTerm = 2;
 constexpr int kRelayCount = 5;
 constexpr int kDataCentres = kRelayCount + 1;
-constexpr int kWorkersOfDataCentre = 80;
+constexpr int kWorkersOfDataCentre = 180;
 constexpr std::uint32_t kMilliCoresOfWorker = 32'000;
 constexpr std::uint32_t kMilliCoresOfTask = 16'000;
 
