Transport: Keeps no pool of connections that has gone with the last of them

Cause, by reading: an attempt that finds only connections that have been idle for too long closes them. The last one takes its pool with it, and the attempt then counted its new connection in the freed pool. Change: the pool is looked up after the idle connections. Test: 'Http client: an attempt after the longest idle time uses a new connection, which counts'; before, 0 connections counted in place of 1.

--- a/Source/Transport/AsioHttpClient.cxx
+++ b/Source/Transport/AsioHttpClient.cxx
@@ -36,9 +36,9 @@
     Refuse(std::move(aDone), "the deadline passed before the request was sent");
     return id;
   }
-  Pool& pool = mPools[aAttempt.mAddress];
   ConnectionPtr connection =
-    aAttempt.mUseNewConnection ? nullptr : TakeIdle(pool);
+    aAttempt.mUseNewConnection ? nullptr : TakeIdle(aAttempt.mAddress);
+  Pool& pool = mPools[aAttempt.mAddress];
   if (!connection && pool.mOpen >= aAttempt.mMaxConnections) {
     Refuse(std::move(aDone), "all connections to the endpoint are in use");
     return id;
@@ -71,13 +71,16 @@
   });
 }
 
+// The pool ends with its last connection.
 AsioHttpClient::ConnectionPtr
-AsioHttpClient::TakeIdle(Pool& aPool)
+AsioHttpClient::TakeIdle(const std::string& aAddress)
 {
   const auto now = std::chrono::steady_clock::now();
-  while (!aPool.mIdle.empty()) {
-    ConnectionPtr connection = std::move(aPool.mIdle.back());
-    aPool.mIdle.pop_back();
+  for (auto pool = mPools.find(aAddress);
+       pool != mPools.end() && !pool->second.mIdle.empty();
+       pool = mPools.find(aAddress)) {
+    ConnectionPtr connection = std::move(pool->second.mIdle.back());
+    pool->second.mIdle.pop_back();
     if (now - connection->IdleSince() < mOptions.mMaxIdle) {
       return connection;
     }
--- a/Source/Transport/AsioHttpClient.h
+++ b/Source/Transport/AsioHttpClient.h
@@ -53,7 +53,7 @@
   };
 
   void Refuse(Done aDone, std::string aWhy);
-  ConnectionPtr TakeIdle(Pool& aPool);
+  ConnectionPtr TakeIdle(const std::string& aAddress);
   void OnIdle(const ConnectionPtr& aConnection);
   void OnClosed(const detail::ClientConnection& aConnection);
   void OnAttemptEnded(AttemptId aAttempt);
--- a/Tests/Transport/HttpClientTest.cxx
+++ b/Tests/Transport/HttpClientTest.cxx
@@ -1,3 +1,5 @@
+#include <chrono>
+#include <optional>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -189,6 +191,29 @@
   CHECK(server.Connections() == 2);
 }
 
+// Guards against a crash: an attempt that found only connections that had been
+// idle for too long used the pool that had gone with the last of them.
+TEST_CASE("Http client: an attempt after the longest idle time uses a new "
+          "connection, which counts")
+{
+  HttpClientOptions options;
+  options.mMaxIdle = std::chrono::seconds(0);
+  asio::io_context context;
+  AsioHttpClient client(context, options);
+  ScriptedServer server([](int) { return Step{ Answer("ok"), false }; });
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    std::optional<AttemptResult> result;
+    client.Start(PostTo(server),
+                 [&](AttemptResult aResult) { result = std::move(aResult); });
+    CHECK(client.Connections() == 1);
+    context.restart();
+    while (!result) {
+      context.run_one();
+    }
+    CHECK(result->mOutcome == TransferOutcome::Answered);
+  }
+}
+
 TEST_CASE("Http client: an attempt without answer ends at its deadline and "
           "its connection is not used again")
 {
