Dispatch: Passes over no relay that answers other orders

Cause: four orders to lost workers end unanswered at one moment, when the calls are swept. That counted as four in a row of their relay, which was then passed over for 2 s, though it answered hundreds of other orders in that second. The leader sent its orders itself or through the relays that were left, on new connections, and was late with everything, so that these were passed over too. Change: a relay is passed over only if it has also answered nothing for 300 ms. Test: 'Order relay: a relay that answers other orders is not passed over'.

--- a/Source/Dispatch/RelayDirectory.cxx
+++ b/Source/Dispatch/RelayDirectory.cxx
@@ -18,6 +18,10 @@
  * worker or a single message. */
 constexpr unsigned kMaxUnanswered = 4;
 
+/** Time without any answer of a relay that shows that it fails. Orders to
+ * several workers that do not answer end unanswered at the same moment. */
+constexpr std::chrono::milliseconds kMaxSilence{ 300 };
+
 /** A reading that is older than this belongs to a clock that began anew. */
 constexpr PeerTime kMaxReadingAgeMs = 10'000;
 
@@ -95,6 +99,7 @@
   const auto relay = mRelays.find(aPeer);
   if (relay != mRelays.end()) {
     relay->second.mUnanswered = 0;
+    relay->second.mLastAnswerAt = mClock.MonotonicNow();
   }
 }
 
@@ -102,7 +107,12 @@
 RelayDirectory::OnUnanswered(const InstanceName& aPeer)
 {
   const auto relay = mRelays.find(aPeer);
-  if (relay != mRelays.end() && ++relay->second.mUnanswered >= kMaxUnanswered) {
+  if (relay == mRelays.end() || ++relay->second.mUnanswered < kMaxUnanswered) {
+    return;
+  }
+  const bool isSilent =
+    mClock.MonotonicNow() - relay->second.mLastAnswerAt >= kMaxSilence;
+  if (isSilent) {
     relay->second.mUnanswered = 0;
     PassOver(aPeer, "no answer");
   }
--- a/Source/Dispatch/RelayDirectory.h
+++ b/Source/Dispatch/RelayDirectory.h
@@ -35,7 +35,8 @@
    * \param aReason what was observed, for the log */
   void PassOver(const InstanceName& aPeer, const char* aReason);
   /** Records whether a relay has answered an order in time. One that leaves
-   * several in a row unanswered is passed over. */
+   * several in a row unanswered, and has answered none for a time, is passed
+   * over. */
   void OnAnswered(const InstanceName& aPeer);
   void OnUnanswered(const InstanceName& aPeer);
 
@@ -67,6 +68,7 @@
     TimePoint mPassedOverUntil{};
     /** Consecutive orders without an answer. */
     unsigned mUnanswered = 0;
+    TimePoint mLastAnswerAt{};
     /** By how much the relay's clock is at least ahead of this one's; unset if
      * it has not told its time. */
     std::optional<PeerTime> mMinClockLead;
--- a/Tests/Dispatch/OrderRelayTest.cxx
+++ b/Tests/Dispatch/OrderRelayTest.cxx
@@ -253,6 +253,34 @@
   CHECK(fixture.mRelayed.mStarts.size() == 1);
 }
 
+// Guards against a collapse: relays that answered thousands of orders were
+// passed over since four to lost workers ended at one moment, and the leader
+// sent everything itself.
+TEST_CASE("Order relay: a relay that answers other orders is not passed over")
+{
+  RelayFixture fixture;
+  const auto leaveUnanswered = [&](int aOrders) {
+    fixture.mLeaderRpc.mHold = true;
+    for (int i = 0; i < aOrders; ++i) {
+      fixture.Start();
+      fixture.mLeaderRpc.mHeld(Error(ErrorKind::PeerTimeout, "no answer"));
+    }
+    fixture.mLeaderRpc.mHold = false;
+  };
+  fixture.Start();
+  OrderRecorder::TakeFirst(fixture.mRelayed.mStarts)
+    .mDone({ OrderOutcome::Done, 4711 });
+  fixture.Advance(milliseconds(100));
+  leaveUnanswered(30);
+  fixture.Start();
+  CHECK(fixture.mRelayed.mStarts.size() == 1);
+  CHECK(fixture.mDirect.mStarts.empty());
+  fixture.Advance(milliseconds(300));
+  leaveUnanswered(1);
+  fixture.Start();
+  CHECK(fixture.mDirect.mStarts.size() == 1);
+}
+
 TEST_CASE("Order relay: a leader that was paused checks its lease again before "
           "it sends what a relay did not take")
 {
