Dispatch: Bounds the starts that wait on their way to the workers

Cause: nothing bounded the orders to start runs that a leader had given and that waited for its own processor or for a relay. They counted as unanswered, were stopped, listed and given again, each of which took more than the start; leases ended behind them, and workers without an answer left the capacity. The detector of overload saw 1 to 2 ms: it looks at the leader's timer only. Change: StartWindows. What is not started waits in the ready queue, in order of urgency, where it is cheap and its refusal is true. Workers are listed by data centre, so that a closed one costs nothing; a pass ends when none is open, and a job of which nothing was started is not sorted again.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -136,6 +136,7 @@
   mIndex.Clear();
   mTimers.Clear();
   mFlow.Clear();
+  mWindows.Clear();
   mWorkers.clear();
   mReady.Clear();
   mLastTriedInTurn = {};
@@ -499,7 +500,7 @@
   ScheduleInTurn();
   EnforceQueueTimeLimits(now);
   RemoveExpired(now);
-  mFlow.Tick(now);
+  mFlow.Tick(now, mWindows);
   FlushRecords();
 }
 
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -25,6 +25,7 @@
 #include "Dispatch/OrderTimeoutEstimator.h"
 #include "Dispatch/OverloadDetector.h"
 #include "Dispatch/ReadyQueue.h"
+#include "Dispatch/StartWindow.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Dispatch/WorkerIndex.h"
 #include "Dispatch/WorkerSession.h"
@@ -282,6 +283,11 @@
   OrderTarget TargetOf(const WorkerSession& aWorker) const;
   RunNumber NextRun(DispatchTask& aTask) const;
   void StartRun(DispatchJob& aJob, const TaskId& aTask, WorkerSession& aWorker);
+  /** Records that an order to start a run has ended, whatever its outcome.
+   * \return true if orders that have waited for that can be given */
+  bool OnStartEnded(const std::string& aDataCentre,
+                    OrderOutcome aOutcome,
+                    TimePoint aOrderedAt);
   void OnStarted(const WorkerBoot& aBoot,
                  const RunId& aRun,
                  const OrderResult& aResult);
@@ -407,6 +413,7 @@
   std::shared_ptr<const Manifest> mManifest;
   WorkerSessions mWorkers;
   WorkerIndex mIndex;
+  StartWindows mWindows;
   WorkerTimers mTimers;
   std::uint64_t mNextSessionNumber = 1;
   std::unordered_map<JobId, JobPtr> mJobs;
--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -251,7 +251,8 @@
 Coordinator::MaySchedule() const
 {
   // Without the lease, an order would only put its worker in doubt.
-  return mRecoveryComplete && !mReady.IsEmpty() && mCalls.MaySend();
+  return mRecoveryComplete && !mReady.IsEmpty() && mWindows.MayStart() &&
+         mCalls.MaySend();
 }
 
 void
@@ -262,7 +263,7 @@
   }
   UnplacedNeeds unplaced;
   SchedulingPass pass(mReady);
-  while (DispatchJob* job = pass.Next()) {
+  while (DispatchJob* job = mWindows.MayStart() ? pass.Next() : nullptr) {
     pass.OnScheduled(ScheduleJob(*job, unplaced));
   }
 }
@@ -309,7 +310,7 @@
         break;
       }
       const TaskId task{ aJob.mSubmission.mId, 0, step, index };
-      WorkerSession* worker = mIndex.Choose(aJob, task, now);
+      WorkerSession* worker = mIndex.Choose(aJob, task, now, mWindows);
       if (worker == nullptr) {
         if (spec.mMaxPerWorker == 0) {
           aUnplaced[kind] = spec.mNeeds;
@@ -319,8 +320,11 @@
       StartRun(aJob, task, *worker);
     }
   }
-  mReady.Update(aJob);
-  return aJob.mAssignedTaskCount > assignedBefore;
+  const bool hasStarted = aJob.mAssignedTaskCount > assignedBefore;
+  if (hasStarted) {
+    mReady.Update(aJob);
+  }
+  return hasStarted;
 }
 
 void
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -131,6 +131,7 @@
             duration_cast<milliseconds>(now - aJob.mArrivedAt).count() })
     .With("free_mcores", aWorker.Free().mMilliCores);
   mFlow.OnOrdered(order.mTarget.mDataCentre);
+  mWindows.OnOrdered(order.mTarget.mDataCentre, now);
   mCalls.Start(
     order,
     mOrderTimeouts.Timeout(now),
@@ -139,13 +140,26 @@
       if (!mLeading || fence != mFence) {
         return;
       }
-      mFlow.OnEnded(target.mDataCentre,
-                    aResult.mOutcome,
-                    duration_cast<milliseconds>(mClock.MonotonicNow() - now));
+      const bool mayStartMore =
+        OnStartEnded(target.mDataCentre, aResult.mOutcome, now);
       OnStarted(target.mBoot, started, aResult);
+      if (mayStartMore) {
+        Schedule();
+      }
     });
 }
 
+bool
+Coordinator::OnStartEnded(const std::string& aDataCentre,
+                          OrderOutcome aOutcome,
+                          TimePoint aOrderedAt)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  const auto took = duration_cast<milliseconds>(now - aOrderedAt);
+  mFlow.OnEnded(aDataCentre, aOutcome, took);
+  return mWindows.OnEnded(aDataCentre, aOutcome, took, now);
+}
+
 void
 Coordinator::OnStarted(const WorkerBoot& aBoot,
                        const RunId& aRun,
--- a/Source/Dispatch/OrderFlow.cxx
+++ b/Source/Dispatch/OrderFlow.cxx
@@ -44,7 +44,7 @@
 }
 
 void
-OrderFlow::Tick(TimePoint aNow)
+OrderFlow::Tick(TimePoint aNow, const StartWindows& aWindows)
 {
   if (aNow < mNextLineAt) {
     return;
@@ -52,7 +52,7 @@
   mNextLineAt = aNow + kLineInterval;
   for (auto& [dataCentre, flow] : mFlows) {
     if (flow.mOrdered > 0 || flow.mOpen > 0) {
-      Log(dataCentre, flow);
+      Log(dataCentre, flow, aWindows);
     }
     const std::uint64_t open = flow.mOpen;
     flow = Flow{};
@@ -62,7 +62,9 @@
 }
 
 void
-OrderFlow::Log(const std::string& aDataCentre, const Flow& aFlow)
+OrderFlow::Log(const std::string& aDataCentre,
+               const Flow& aFlow,
+               const StartWindows& aWindows)
 {
   EventLine(mLog, "start-flow")
     .With("data_centre", aDataCentre)
@@ -72,6 +74,8 @@
     .With("not_sent", aFlow.mNotSent)
     .With("open", aFlow.mOpen)
     .With("most_open", aFlow.mMostOpen)
+    .With("limit", std::uint64_t{ aWindows.LimitIn(aDataCentre) })
+    .With("limit_of_all", std::uint64_t{ aWindows.Limit() })
     .With("fastest_ms", std::int64_t{ aFlow.mFastest.count() })
     .With("slowest_ms", std::int64_t{ aFlow.mSlowest.count() });
 }
--- a/Source/Dispatch/OrderFlow.h
+++ b/Source/Dispatch/OrderFlow.h
@@ -7,6 +7,7 @@
 
 #include "Base/Clock.h"
 #include "Base/EventLog.h"
+#include "Dispatch/StartWindow.h"
 #include "Dispatch/WorkerCalls.h"
 
 namespace almondspoke::dispatch {
@@ -34,8 +35,9 @@
   void OnEnded(const std::string& aDataCentre,
                OrderOutcome aOutcome,
                Milliseconds aTook);
-  /** Writes the lines that are due. */
-  void Tick(TimePoint aNow);
+  /** Writes the lines that are due.
+   * \param aWindows bounds of the open orders */
+  void Tick(TimePoint aNow, const StartWindows& aWindows);
   /** Forgets all orders. */
   void Clear() { mFlows.clear(); }
 
@@ -54,7 +56,9 @@
     Milliseconds mSlowest{ 0 };
   };
 
-  void Log(const std::string& aDataCentre, const Flow& aFlow);
+  void Log(const std::string& aDataCentre,
+           const Flow& aFlow,
+           const StartWindows& aWindows);
 
   EventLog& mLog;
   std::map<std::string, Flow> mFlows;
--- a/Source/Dispatch/WorkerIndex.cxx
+++ b/Source/Dispatch/WorkerIndex.cxx
@@ -145,6 +145,7 @@
   const bool isSameSize = aKnown.mCapacity.FitsInto(aNew.mCapacity) &&
                           aNew.mCapacity.FitsInto(aKnown.mCapacity);
   return !isSameSize || aKnown.mPool != aNew.mPool ||
+         aKnown.mDataCentre != aNew.mDataCentre ||
          aKnown.mLabels != aNew.mLabels ||
          (aKnown.mWarmUpRemainingMs > 0) != (aNew.mWarmUpRemainingMs > 0);
 }
@@ -167,14 +168,14 @@
   position.mIsCold = report.mWarmUpRemainingMs > 0;
   position.mFreeMilliCores = aWorker.Free().mMilliCores;
   PoolListings& pool = mPools[report.mPool];
-  pool.mAll.emplace(position, &aWorker);
+  pool.mAll[report.mDataCentre].emplace(position, &aWorker);
   if (pool.mByLabel.empty()) {
     return;
   }
   for (const std::string& label : report.mLabels) {
     const auto listing = pool.mByLabel.find(label);
     if (listing != pool.mByLabel.end()) {
-      listing->second.emplace(position, &aWorker);
+      listing->second[report.mDataCentre].emplace(position, &aWorker);
     }
   }
 }
@@ -182,15 +183,16 @@
 void
 WorkerIndex::Unlist(WorkerSession& aWorker)
 {
-  PoolListings& pool = mPools[aWorker.Report().mPool];
-  pool.mAll.erase(aWorker.mPosition);
+  const WorkerReport& report = aWorker.Report();
+  PoolListings& pool = mPools[report.mPool];
+  pool.mAll[report.mDataCentre].erase(aWorker.mPosition);
   if (pool.mByLabel.empty()) {
     return;
   }
-  for (const std::string& label : aWorker.Report().mLabels) {
+  for (const std::string& label : report.mLabels) {
     const auto listing = pool.mByLabel.find(label);
     if (listing != pool.mByLabel.end()) {
-      listing->second.erase(aWorker.mPosition);
+      listing->second[report.mDataCentre].erase(aWorker.mPosition);
     }
   }
 }
@@ -202,7 +204,7 @@
   mAside.emplace(aWorker.mPosition.mNumber, &aWorker);
 }
 
-WorkerIndex::Listing*
+WorkerIndex::DataCentreListings*
 WorkerIndex::WithLabel(PoolListings& aPool, const std::string& aLabel)
 {
   if (aPool.mLabelCounts.count(aLabel) == 0) {
@@ -210,9 +212,11 @@
   }
   const auto [entry, isNew] = aPool.mByLabel.try_emplace(aLabel);
   if (isNew) {
-    for (const auto& [position, worker] : aPool.mAll) {
-      if (HasLabel(worker->Report(), aLabel)) {
-        entry->second.emplace(position, worker);
+    for (const auto& [dataCentre, workers] : aPool.mAll) {
+      for (const auto& [position, worker] : workers) {
+        if (HasLabel(worker->Report(), aLabel)) {
+          entry->second[dataCentre].emplace(position, worker);
+        }
       }
     }
   }
@@ -220,9 +224,38 @@
 }
 
 WorkerSession*
-WorkerIndex::FindIn(Listing& aListing, bool aIsCold, Search& aSearch)
+WorkerIndex::BetterOf(WorkerSession* aLeft, WorkerSession* aRight)
+{
+  if (aLeft == nullptr || aRight == nullptr) {
+    return aLeft == nullptr ? aRight : aLeft;
+  }
+  return Order()(aRight->mPosition, aLeft->mPosition) ? aRight : aLeft;
+}
+
+WorkerSession*
+WorkerIndex::FindIn(DataCentreListings& aListings,
+                    bool aIsCold,
+                    Search& aSearch)
+{
+  Found best;
+  for (auto& [dataCentre, listing] : aListings) {
+    if (!aSearch.mWindows.MayStartIn(dataCentre)) {
+      continue;
+    }
+    const Found found = FindIn(listing, aIsCold, aSearch);
+    best.mBest = BetterOf(best.mBest, found.mBest);
+    best.mAvoided = BetterOf(best.mAvoided, found.mAvoided);
+  }
+  aSearch.mAvoided =
+    aSearch.mAvoided == nullptr ? best.mAvoided : aSearch.mAvoided;
+  return best.mBest;
+}
+
+WorkerIndex::Found
+WorkerIndex::FindIn(Listing& aListing, bool aIsCold, const Search& aSearch)
 {
   const StepSpec& step = aSearch.mJob.Step(aSearch.mTask);
+  Found found;
   auto entry = aListing.lower_bound({ aIsCold, step.mNeeds.mMilliCores, 0 });
   while (entry != aListing.end() && entry->first.mIsCold == aIsCold) {
     WorkerSession& worker = *entry->second;
@@ -235,27 +268,29 @@
       continue;
     }
     if (!IsAvoided(worker, aSearch.mJob, aSearch.mTask)) {
-      return &worker;
+      found.mBest = &worker;
+      return found;
     }
-    aSearch.mAvoided = aSearch.mAvoided == nullptr ? &worker : aSearch.mAvoided;
+    found.mAvoided = found.mAvoided == nullptr ? &worker : found.mAvoided;
   }
-  return nullptr;
+  return found;
 }
 
 WorkerSession*
 WorkerIndex::Choose(const DispatchJob& aJob,
                     const TaskId& aTask,
-                    TimePoint aNow)
+                    TimePoint aNow,
+                    const StartWindows& aWindows)
 {
   const StepSpec& step = aJob.Step(aTask);
   PoolListings& pool = mPools[aJob.mQueue.mPool];
-  const std::array<Listing*, 2> listings = {
+  const std::array<DataCentreListings*, 2> listings = {
     step.mDataRack.empty() ? nullptr : WithLabel(pool, step.mDataRack),
     step.mRequiredLabel.empty() ? &pool.mAll
                                 : WithLabel(pool, step.mRequiredLabel),
   };
-  Search search{ aJob, aTask, aNow };
-  for (Listing* listing : listings) {
+  Search search{ aJob, aTask, aNow, aWindows };
+  for (DataCentreListings* listing : listings) {
     for (const bool isCold : { false, true }) {
       WorkerSession* worker =
         listing == nullptr ? nullptr : FindIn(*listing, isCold, search);
--- a/Source/Dispatch/WorkerIndex.h
+++ b/Source/Dispatch/WorkerIndex.h
@@ -9,6 +9,7 @@
 
 #include "Dispatch/DispatchJob.h"
 #include "Dispatch/LargestCapacity.h"
+#include "Dispatch/StartWindow.h"
 #include "Dispatch/WorkerSession.h"
 
 namespace almondspoke::dispatch {
@@ -21,7 +22,9 @@
  * first, and a worker on which an earlier run of the task did not succeed is
  * chosen only if there is no other.
  *
- * The workers of a pool are listed in the order of their free CPU. A worker
+ * The workers of a pool are listed by data centre, so that those of one to
+ * which no further order may be given cost nothing, and there in the order of
+ * their free CPU. A worker
  * that a search finds unable to take any run, for example since it drains, is
  * set aside until its free resources change, Readmit() or ReadmitAll(). */
 class WorkerIndex : public RoomListener
@@ -42,10 +45,12 @@
   /** Lists the workers again that can take runs. */
   void ReadmitAll(TimePoint aNow);
 
-  /** Returns the best worker for a task of a job, or null. */
+  /** Returns the best worker for a task of a job, or null.
+   * \param aWindows tell to which data centres an order may be given */
   WorkerSession* Choose(const DispatchJob& aJob,
                         const TaskId& aTask,
-                        TimePoint aNow);
+                        TimePoint aNow,
+                        const StartWindows& aWindows);
 
   /** Returns whether a task needs more than any worker of a pool has, busy or
    * not; false if the pool has no workers. */
@@ -69,13 +74,14 @@
     }
   };
   using Listing = std::map<Position, WorkerSession*, Order>;
+  using DataCentreListings = std::map<std::string, Listing>;
 
   /** \brief The workers of a pool: all, and those with a label. The listing of
    * a label is created by the first search for it. */
   struct PoolListings
   {
-    Listing mAll;
-    std::unordered_map<std::string, Listing> mByLabel;
+    DataCentreListings mAll;
+    std::unordered_map<std::string, DataCentreListings> mByLabel;
     std::unordered_map<std::string, std::size_t> mLabelCounts;
     LargestCapacity mCapacity;
   };
@@ -86,17 +92,31 @@
     const DispatchJob& mJob;
     const TaskId& mTask;
     TimePoint mNow;
+    const StartWindows& mWindows;
     /** Best worker among those on which the task did not succeed before. */
     WorkerSession* mAvoided = nullptr;
   };
+  /** \brief The best worker of a listing, and the best one of those on which
+   * the task did not succeed before. */
+  struct Found
+  {
+    WorkerSession* mBest = nullptr;
+    WorkerSession* mAvoided = nullptr;
+  };
 
   static bool CanTakeRuns(const WorkerSession& aWorker, TimePoint aNow);
   void List(WorkerSession& aWorker);
   void Unlist(WorkerSession& aWorker);
   void SetAside(WorkerSession& aWorker);
   /** Returns the workers of a pool that have a label, or null if none has. */
-  static Listing* WithLabel(PoolListings& aPool, const std::string& aLabel);
-  WorkerSession* FindIn(Listing& aListing, bool aIsCold, Search& aSearch);
+  static DataCentreListings* WithLabel(PoolListings& aPool,
+                                       const std::string& aLabel);
+  /** Returns the better one of two workers, either of which may be null. */
+  static WorkerSession* BetterOf(WorkerSession* aLeft, WorkerSession* aRight);
+  WorkerSession* FindIn(DataCentreListings& aListings,
+                        bool aIsCold,
+                        Search& aSearch);
+  Found FindIn(Listing& aListing, bool aIsCold, const Search& aSearch);
 
   std::map<PoolName, PoolListings> mPools;
   /** Workers that cannot take runs, by number. */
--- a/Tests/Dispatch/ScriptedLeader.h
+++ b/Tests/Dispatch/ScriptedLeader.h
@@ -159,6 +159,12 @@
   {
     AnswerHoldAs(0, aClock, std::move(aRunning), {});
   }
+  /** Answers the latest hold order with empty lists. */
+  void AnswerLastHold()
+  {
+    std::swap(mOrders.mHolds.front(), mOrders.mHolds.back());
+    AnswerHold();
+  }
   /** Answers the oldest hold order with a part of the ends. */
   void AnswerHoldInPart(std::vector<dispatch::EndedRun> aEnded)
   {
--- a/Tests/Dispatch/WorkerIndexTest.cxx
+++ b/Tests/Dispatch/WorkerIndexTest.cxx
@@ -59,6 +59,7 @@
     WorkerReport report;
     report.mBoot = { aId, 1 };
     report.mPool = Between(0, 4) == 0 ? "other" : "pool";
+    report.mDataCentre = "dc" + std::to_string(Between(0, 2));
     report.mCapacity.mMilliCores =
       static_cast<std::uint32_t>(Between(1, 3) * 16'000);
     report.mCapacity.mMemoryMegabytes =
@@ -153,9 +154,9 @@
     const TaskId task{ job.mSubmission.mId, 0, 0, 0 };
     // The index may leave out a worker that can take runs again since the last
     // readmission; a placement that it makes is always a best one of the rest.
-    WorkerSession* chosen = mIndex.Choose(job, task, mNow);
+    WorkerSession* chosen = mIndex.Choose(job, task, mNow, mWindows);
     mIndex.ReadmitAll(mNow);
-    chosen = mIndex.Choose(job, task, mNow);
+    chosen = mIndex.Choose(job, task, mNow, mWindows);
     WorkerSession* best = PlacementWalk::Choose(mWorkers, job, task, mNow);
     if ((chosen == nullptr) != (best == nullptr)) {
       return "placement " + std::to_string(aNumber) + ": only one of both";
@@ -170,6 +171,7 @@
   std::mt19937_64 mRandom;
   Clock::Monotonic mNow{ std::chrono::hours(1) };
   WorkerSessions mWorkers;
+  StartWindows mWindows;
   WorkerIndex mIndex;
   std::uint64_t mNumber = 0;
   int mTask = 0;
@@ -206,13 +208,13 @@
   job.mSubmission.mSteps.push_back(step);
   job.mSteps.emplace_back(1);
   const TaskId task{ "job", 0, 0, 0 };
-  CHECK(index.Choose(job, task, {}) == &worker);
+  CHECK(index.Choose(job, task, {}, {}) == &worker);
   report.mDraining = true;
   worker.Update(report);
-  CHECK(index.Choose(job, task, {}) == nullptr);
+  CHECK(index.Choose(job, task, {}, {}) == nullptr);
   report.mDraining = false;
   worker.Update(report);
-  CHECK(index.Choose(job, task, {}) == nullptr);
+  CHECK(index.Choose(job, task, {}, {}) == nullptr);
   index.ReadmitAll({});
-  CHECK(index.Choose(job, task, {}) == &worker);
+  CHECK(index.Choose(job, task, {}, {}) == &worker);
 }
--- a/Utilities/Measure/DispatchMeasure.cxx
+++ b/Utilities/Measure/DispatchMeasure.cxx
@@ -292,7 +292,8 @@
   /** Returns the microseconds to choose a worker and reserve its room. */
   double ByIndex()
   {
-    return Place([this] { return mIndex.Choose(mJob, mTask, mNow); }, 20'000);
+    return Place([this] { return mIndex.Choose(mJob, mTask, mNow, mWindows); },
+                 20'000);
   }
   double ByWalk()
   {
@@ -331,6 +332,7 @@
 
   Clock::Monotonic mNow{ std::chrono::hours(1) };
   WorkerSessions mWorkers;
+  StartWindows mWindows;
   WorkerIndex mIndex;
   DispatchJob mJob;
   const TaskId mTask{ "5c0e7a21d94b36f8", 0, 0, 0 };
