Dispatch: Takes orders for waiting from 15 ms on

Cause: a job waits in the leader's queue for its start and again for its end, so that the longest wait counts twice; 30 ms and its spread were too much. Change: the fastest answer of 100 ms may take 15 ms, several round trips.

--- a/Source/Dispatch/StartWindow.cxx
+++ b/Source/Dispatch/StartWindow.cxx
@@ -13,7 +13,7 @@
 /** Longest time of the fastest answer while orders do not wait: several round
  * trips between data centres, and less than the shortest time that a job may
  * wait for its start (Admission::MaxQueueTime()). */
-constexpr milliseconds kMaxFastestAnswer{ 30 };
+constexpr milliseconds kMaxFastestAnswer{ 15 };
 
 /** By how much the fastest answer of a data centre may be slower than that of
  * the others: a round trip, and the work of its relay. */
