Dispatch: Leaves ends of unknown jobs to the elected leader

Cause: a local leader loads no stored jobs, so that the ends of their runs are those of unknown jobs to it. It acknowledged them, the worker forgot them, and the elected leader, which had not stored them, started the tasks again. Change: a local leader acknowledges no end of a job that it does not know, nor those behind it. Since the worker lists them each time, it asks every 50 ms. Test: 'Local leader: ends of jobs that it does not know are not acknowledged'; before, end 1 was acknowledged. 'works beside ends that it leaves to the elected one' passed before, too, and bounds the orders for lists.

--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -25,6 +25,10 @@
  * another leader was found. Unclaimed runs are stopped afterwards. */
 constexpr milliseconds kOrphanClaimTimeout{ 1500 };
 
+/** Time between hold orders of a local leader to a worker whose ends it must
+ * leave to the elected leader. The worker lists them each time. */
+constexpr milliseconds kWithheldEndsInterval{ 50 };
+
 /** A lease of an earlier leader has expired after this percentage of the
  * maximum lease. The surplus accounts for slow clocks of workers. */
 constexpr int kLeaseExpiryPercent = 106;
@@ -171,7 +175,11 @@
   if (!mRecoveryComplete) {
     TryFinishRecovery(now);
   }
-  if (!worker.Runs().empty() || !worker.mAreListsRead) {
+  const bool hasWithheldEnds =
+    mScope.IsLocal() && !worker.mUnstoredEnds.empty();
+  if (hasWithheldEnds) {
+    worker.mNextHoldAt = now + kWithheldEndsInterval;
+  } else if (!worker.Runs().empty() || !worker.mAreListsRead) {
     ReadOn(worker);
   }
   Schedule();
@@ -253,6 +261,10 @@
   DispatchJob* job = FindJob(id.mJob);
   DispatchTask* task = job == nullptr ? nullptr : job->Task(id);
   if (task == nullptr) {
+    if (mScope.IsLocal()) {
+      // The job may be stored: its end is the elected leader's to note.
+      aWorker.mUnstoredEnds.insert(aEnd.mNumber);
+    }
     if (aEnd.mEnd == RunEnd::Done) {
       mUnmatchedEnds[id] = { aEnd.mEnd, now };
     }
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -207,7 +207,8 @@
   /** False until the boot has reported. The report is then that of the boot
    * before, whose size and labels may differ. */
   bool mHasReported = true;
-  /** Numbers of ends that are processed but not yet stored. */
+  /** Numbers of ends that are processed but not yet stored, or that a local
+   * leader leaves to the elected one. */
   std::set<std::uint64_t> mUnstoredEnds;
   /** True once the worker has answered under this leader's fence. Orders of
    * earlier leaders have no effect from then on. */
--- a/Tests/Dispatch/LocalLeadershipTest.cxx
+++ b/Tests/Dispatch/LocalLeadershipTest.cxx
@@ -1,14 +1,18 @@
 // A local leader serves a data centre during a network partition and hands it
 // back afterwards.
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "Dispatch/DispatchFixture.h"
 #include "Dispatch/LocalLeadership.h"
+#include "Dispatch/ScriptedLeader.h"
 #include "Dispatch/WorkerFence.h"
 
 using namespace almondspoke;
 using namespace almondspoke::dispatch;
 using almondspoke::testing::DispatchFixture;
+using almondspoke::testing::ScriptedLeader;
 using std::chrono::milliseconds;
 
 namespace {
@@ -209,6 +213,73 @@
   CHECK(fixture.ReplyTo(call));
 }
 
+// Guards against a start after a noted end: a local leader acknowledged the
+// ends of stored jobs, which it does not know, so that nobody stored them.
+TEST_CASE("Local leader: ends of jobs that it does not know are not "
+          "acknowledged")
+{
+  ScriptedLeader leader;
+  WorkerReport report = ScriptedLeader::ReportOf("w0");
+  report.mDataCentre = "zagreb";
+  DispatchState state;
+  state.mFence = ScriptedLeader::kFence;
+  state.mWorkers["w0"] = report;
+  leader.mCoordinator.BeginLeading(
+    ScriptedLeader::kFence, state, { report }, { "zagreb", 7 });
+  EndedRun end;
+  end.mNumber = 1;
+  end.mRun = { TaskId{ "stored", 0, 0, 0 }, 1 };
+  end.mEnd = RunEnd::Done;
+  leader.AnswerHold({}, { end });
+  std::uint64_t acknowledged = 0;
+  for (int i = 0; i < 30; ++i) {
+    leader.Run(milliseconds(100));
+    while (!leader.mOrders.mHolds.empty()) {
+      acknowledged = std::max(
+        acknowledged, leader.mOrders.mHolds.front().mOrder.mAcknowledgedEnds);
+      leader.AnswerHold({}, { end });
+    }
+  }
+  CHECK(acknowledged == 0);
+}
+
+TEST_CASE("Local leader: works beside ends that it leaves to the elected one")
+{
+  DispatchFixture fixture;
+  StartRecoveredLeader(fixture);
+  JobCall job = fixture.CallOf("patient", "stored", 3, 20'000, true);
+  job.mJob.mSteps.front().mEstimateMs = 300;
+  fixture.Submit(job, milliseconds(300));
+  fixture.Run(milliseconds(100));
+  REQUIRE(fixture.mFleet.RunningOn("w0") == 1);
+  SECTION("they end during the local leadership")
+  {
+    fixture.Disconnect(kPartitionedWorkers);
+    fixture.StartLocalLeader("zagreb");
+  }
+  SECTION("they have ended before it")
+  {
+    fixture.Disconnect(kPartitionedWorkers);
+    fixture.Run(milliseconds(400));
+    fixture.StartLocalLeader("zagreb");
+  }
+  fixture.Run(milliseconds(2500));
+  // The local leader goes on with its own work meanwhile.
+  const JobCall own = fixture.CallOf("urgent", "own", 2, 20'000, false);
+  const CallId call = fixture.SubmitLocally(own);
+  const std::size_t holdsBefore = fixture.mFleet.HoldsOf("w0");
+  fixture.Run(milliseconds(1000));
+  REQUIRE(fixture.LocalReplyTo(call));
+  CHECK(fixture.LocalReplyTo(call)->mState == JobState::Completed);
+  CHECK(fixture.mFleet.HoldsOf("w0") - holdsBefore < 100);
+  const std::size_t starts = fixture.mFleet.StartsOf("stored");
+  fixture.StopLocalLeader();
+  fixture.StartLeader();
+  fixture.Run(milliseconds(3000));
+  CHECK(fixture.mFleet.Errors().empty());
+  CHECK(fixture.mFleet.StartsOf("stored") == starts);
+}
+
 TEST_CASE("Local leader: a job that it leaves unfinished completes when it is "
           "submitted again")
 {
