Dispatch: Lists no data centre that has no worker to use

Found by reading the change again: since workers are listed by data centre, each search looks at each data centre that a report has ever named. Odd reports could name a new one each (2,000 workers that never answered are kept), and every task would have cost a look at all of them. A list without workers goes now at the next search. What is chosen is the same: 'Worker index: places each task as a walk over all workers would' passes, with the address sanitizer too.

--- a/Source/Dispatch/WorkerIndex.cxx
+++ b/Source/Dispatch/WorkerIndex.cxx
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace almondspoke::dispatch {
 
@@ -183,20 +184,28 @@
 void
 WorkerIndex::Unlist(WorkerSession& aWorker)
 {
-  const WorkerReport& report = aWorker.Report();
-  PoolListings& pool = mPools[report.mPool];
-  pool.mAll[report.mDataCentre].erase(aWorker.mPosition);
+  PoolListings& pool = mPools[aWorker.Report().mPool];
+  Unlist(aWorker, pool.mAll);
   if (pool.mByLabel.empty()) {
     return;
   }
-  for (const std::string& label : report.mLabels) {
+  for (const std::string& label : aWorker.Report().mLabels) {
     const auto listing = pool.mByLabel.find(label);
     if (listing != pool.mByLabel.end()) {
-      listing->second[report.mDataCentre].erase(aWorker.mPosition);
+      Unlist(aWorker, listing->second);
     }
   }
 }
 
+void
+WorkerIndex::Unlist(const WorkerSession& aWorker, DataCentreListings& aListings)
+{
+  const auto listing = aListings.find(aWorker.Report().mDataCentre);
+  if (listing != aListings.end()) {
+    listing->second.erase(aWorker.mPosition);
+  }
+}
+
 void
 WorkerIndex::SetAside(WorkerSession& aWorker)
 {
@@ -238,13 +247,15 @@
                     Search& aSearch)
 {
   Found best;
-  for (auto& [dataCentre, listing] : aListings) {
-    if (!aSearch.mWindows.MayStartIn(dataCentre)) {
-      continue;
+  for (auto entry = aListings.begin(); entry != aListings.end();) {
+    auto& [dataCentre, listing] = *entry;
+    if (aSearch.mWindows.MayStartIn(dataCentre)) {
+      const Found found = FindIn(listing, aIsCold, aSearch);
+      best.mBest = BetterOf(best.mBest, found.mBest);
+      best.mAvoided = BetterOf(best.mAvoided, found.mAvoided);
     }
-    const Found found = FindIn(listing, aIsCold, aSearch);
-    best.mBest = BetterOf(best.mBest, found.mBest);
-    best.mAvoided = BetterOf(best.mAvoided, found.mAvoided);
+    // Reports may name many data centres that have no worker to use.
+    entry = listing.empty() ? aListings.erase(entry) : std::next(entry);
   }
   aSearch.mAvoided =
     aSearch.mAvoided == nullptr ? best.mAvoided : aSearch.mAvoided;
--- a/Source/Dispatch/WorkerIndex.h
+++ b/Source/Dispatch/WorkerIndex.h
@@ -107,6 +107,8 @@
   static bool CanTakeRuns(const WorkerSession& aWorker, TimePoint aNow);
   void List(WorkerSession& aWorker);
   void Unlist(WorkerSession& aWorker);
+  static void Unlist(const WorkerSession& aWorker,
+                     DataCentreListings& aListings);
   void SetAside(WorkerSession& aWorker);
   /** Returns the workers of a pool that have a label, or null if none has. */
   static DataCentreListings* WithLabel(PoolListings& aPool,
