Review: Shows a job that waits beside free runners after a hopeless one

Cause: a runner on probation is tried only while it has no run, also if a long task of another job is at work on it. Nothing is mended.

--- a/review/common-2/cases.h
+++ b/review/common-2/cases.h
@@ -106,4 +106,138 @@
          isShown(id, "failed") && isShown(longId, "completed");
 }
 
+/** The last runners of the list are of kind b, the others of kind a. */
+inline void
+SetKinds(Stage& aStage, std::size_t aOfKindB)
+{
+  for (std::size_t runner = 0; runner < aStage.Runners(); ++runner) {
+    const bool isOfKindB = runner + aOfKindB >= aStage.Runners();
+    aStage.Runner(runner).SetKind(isOfKindB ? "b" : "a");
+  }
+}
+
+/** The only runner with a label crashes for good; a stored job that needs the
+ * label is accepted and cannot begin. It has to be counted as pending. */
+inline bool
+PlayPending(Stage& aStage, bool aHasTrouble)
+{
+  const std::string id = "5c0e7a21d94b36fb";
+  Json step = Step(1, 300);
+  step["requirements"] = "b";
+  aStage.Expect(id, "0=300/done", Json::array({ step }), true, 2);
+  if (aHasTrouble) {
+    aStage.Runner(aStage.Runners() - 1).Crash();
+  }
+  const Answer accepted = aStage.Submit(0, "/kept/", id, 3000);
+  if (accepted.mStatus != 200) {
+    return false;
+  }
+  // visible_ms + 2 s, and some more.
+  Sleep(3000 + 2000 + 500);
+  bool isCounted = true;
+  for (std::size_t zone = 0; zone < Stage::kZones; ++zone) {
+    const std::int64_t sentMs = aStage.Seen().Now();
+    const Answer answer = aStage.Ask(zone, "GET", "/kept/", "", 3000);
+    const Json body = Json::parse(answer.mBody, nullptr, false);
+    if (answer.mStatus != 200 || body.count("pending") == 0) {
+      return false;
+    }
+    Ledger& seen = aStage.Seen();
+    const std::lock_guard<std::mutex> lock(seen.Mutex());
+    const bool hasBegun = seen.Runs().count(id + ".0.0.0") != 0;
+    const int waiting =
+      !hasBegun && sentMs > seen.Jobs()[id].mAcceptedMs + 5000 ? 1 : 0;
+    if (2 * body["pending"].get<int>() < waiting) {
+      seen.Break("MIXED",
+                 "a job that was accepted 5 s before and has not begun, and " +
+                   answer.mBody);
+      isCounted = false;
+    }
+  }
+  return isCounted;
+}
+
+/** Two runners have a label and work on a long task each, beside which they
+ * have most of their room. A job that can never be done fails on both. Then a
+ * job comes that needs the label. */
+inline bool
+PlayStarve(Stage& aStage, bool aHasTrouble)
+{
+  constexpr std::int64_t kFinishMs = 14000;
+  const std::string longId = "5c0e7a21d94b36fc";
+  const std::string poisonId = "5c0e7a21d94b36fd";
+  const std::string id = "5c0e7a21d94b36fe";
+  Json longStep = Step(2, 30000);
+  longStep["requirements"] = "b";
+  longStep["anti_affinity"] = 1;
+  Json step = Step(4, 200);
+  step["requirements"] = "b";
+  aStage.Expect(longId, "0=30000/done", Json::array({ longStep }), true, 2);
+  aStage.Expect(poisonId, "0=200/failed", Json::array({ step }), true, 2);
+  aStage.Expect(id, "0=200/done", Json::array({ step }), true, 2);
+  bool accepted = aStage.Submit(0, "/kept/", longId, 3000).mStatus == 200;
+  accepted = accepted && aStage.AwaitRun(longId + ".0.0.0", 1, 3000) &&
+             aStage.AwaitRun(longId + ".0.0.1", 1, 3000);
+  // One message in 20 of the queue is one that can never be done.
+  for (int number = 0; number < 19 && accepted; ++number) {
+    char other[17];
+    std::snprintf(other, sizeof other, "5c0e7a21d94b%04x", number);
+    aStage.Expect(other, "0=60/done", Json::array({ Step(2, 60) }), true, 2);
+    accepted = aStage.Submit(1, "/kept/", other, 3000).mStatus == 200;
+    Sleep(50);
+  }
+  if (aHasTrouble) {
+    accepted =
+      accepted && aStage.Submit(2, "/kept/", poisonId, 3000).mStatus == 200;
+    Sleep(1500);
+  }
+  accepted = accepted && aStage.Submit(3, "/kept/", id, 3000).mStatus == 200;
+  if (!accepted) {
+    return false;
+  }
+  // The traffic ends here.
+  Sleep(kFinishMs);
+  Ledger& seen = aStage.Seen();
+  const std::string first = id + ".0.0.0";
+  bool hasBegun = false;
+  for (int waited = 0; waited < 3100 && !hasBegun; waited += 20) {
+    {
+      const std::lock_guard<std::mutex> lock(seen.Mutex());
+      hasBegun = seen.Runs().count(first) != 0;
+    }
+    Sleep(20);
+  }
+  const std::lock_guard<std::mutex> lock(seen.Mutex());
+  if (!hasBegun) {
+    seen.Break("LOST",
+               id + " has had nothing running for 3 s, from finish_s after the "
+                    "end of the traffic on; the runners with its label have "
+                    "30000 of 32000 thousandths of a core free");
+  }
+  return hasBegun;
+}
+
+/** The process on one seed is killed while the installation starts for the
+ * first time, and is back 1 s later. Is anything served then? */
+inline bool
+PlayFirst(Stage& aStage)
+{
+  bool isServed = false;
+  for (std::size_t zone = 0; zone < Stage::kZones; ++zone) {
+    const std::string id = "5c0e7a21d94b370" + std::to_string(zone);
+    aStage.Expect(id, "0=60/done", Json::array({ Step(2, 60) }), false, 2);
+    isServed =
+      aStage.Submit(zone, "/best/", id, 3000).mStatus == 200 || isServed;
+  }
+  Ledger& seen = aStage.Seen();
+  const std::lock_guard<std::mutex> lock(seen.Mutex());
+  if (!isServed) {
+    seen.Break("Fault",
+               "no request is served, and no manifest is accepted, " +
+                 std::to_string(seen.Now() / 1000) +
+                 " s after the first start, with all machines up");
+  }
+  return isServed;
+}
+
 }
--- a/review/common-2/main.cxx
+++ b/review/common-2/main.cxx
@@ -32,7 +32,10 @@
     const std::map<std::string, bool (*)(Stage&, bool)> cases = {
       { "steps", &PlaySteps },
       { "budget", &PlayBudget },
+      { "pending", &PlayPending },
+      { "starve", &PlayStarve },
     };
+    SetKinds(stage, which == "pending" ? 1 : which == "starve" ? 2 : 0);
     const auto found = cases.find(which);
     bool played = false;
     if (which == "mix" && aCount == 5) {
@@ -42,6 +45,9 @@
                (std::string(aArguments[4]) == "load"
                   ? Mix(stage, seed, "").PlayLoad(90, 200)
                   : Mix(stage, seed, hasTrouble ? aArguments[4] : "").Play(70));
+    } else if (which == "first") {
+      stage.Begin(Routes(), hasTrouble);
+      played = PlayFirst(stage);
     } else {
       played = found != cases.end() && stage.Begin(Routes()) &&
                found->second(stage, hasTrouble);
--- a/review/common-2/stage.h
+++ b/review/common-2/stage.h
@@ -80,15 +80,28 @@
   Worker& Runner(std::size_t aNumber) { return *mWorkers[aNumber]; }
   std::size_t Runners() const { return mWorkers.size(); }
 
-  /** Starts everything and sends the first manifest. */
-  bool Begin(const Json& aRoutes)
+  /** Starts everything and sends the first manifest.
+   * \param aIsSeedKilled the process on a seed is killed 0.2 s after its start,
+   * while another seed starts 0.25 s after the first, and comes back 1 s later
+   */
+  bool Begin(const Json& aRoutes, bool aIsSeedKilled = false)
   {
-    for (auto& node : mCores) {
-      node->Start();
+    for (std::size_t core = 0; core < mCores.size(); ++core) {
+      if (core != 2 || !aIsSeedKilled) {
+        mCores[core]->Start();
+      }
     }
     for (auto& node : mFronts) {
       node->Start();
     }
+    if (aIsSeedKilled) {
+      Sleep(200);
+      mCores[1]->Kill();
+      Sleep(50);
+      mCores[2]->Start();
+      Sleep(950);
+      mCores[1]->Start();
+    }
     for (auto& worker : mWorkers) {
       if (!worker->Boot()) {
         return false;
@@ -128,7 +141,8 @@
                                 { "max_body_bytes", 262144 },
                                 { "header_timeout_ms", 3000 },
                                 { "idle_timeout_ms", 15000 } } } };
-    for (int tried = 0; tried < 60; ++tried) {
+    const auto until = Steady::now() + std::chrono::seconds(40);
+    for (int tried = 0; Steady::now() < until; ++tried) {
       const Node& core =
         *mCores[static_cast<std::size_t>(tried) % mCores.size()];
       const int status =
