Review: Shows a job that has failed and is started again

Cause: a list of runs that was overtaken by later answers is read as one of another leader's runs; the run in it is claimed for its job although the job has ended, which makes it a running one. Nothing is mended.

--- a/review/common-2/cases.h
+++ b/review/common-2/cases.h
@@ -240,4 +240,53 @@
   return isServed;
 }
 
+/** Stored jobs with a task that always fails and one that is stopped with the
+ * job, beside short jobs. Answers of the runners overtake each other. */
+inline bool
+PlayOvertaken(Stage& aStage, bool aHasTrouble)
+{
+  for (std::size_t runner = 0; runner < aStage.Runners(); ++runner) {
+    aStage.Runner(runner).SetMaxAnswerDelay(aHasTrouble ? 20 : 0);
+  }
+  std::atomic<bool> isOver{ false };
+  std::vector<std::thread> others;
+  for (int client = 0; client < 8; ++client) {
+    others.emplace_back([&, client] {
+      for (int number = 0; !isOver; ++number) {
+        char id[17];
+        std::snprintf(id, sizeof id, "%08x%08x", 0xa0 + client, number);
+        aStage.Expect(id, "0=60/done", Json::array({ Step(4, 60) }), true, 2);
+        aStage.Submit(static_cast<std::size_t>(client) % 4, "/kept/", id, 3000);
+        Sleep(100);
+      }
+    });
+  }
+  bool accepted = true;
+  std::vector<std::string> hopeless;
+  for (int number = 0; number < 6; ++number) {
+    char id[17];
+    std::snprintf(id, sizeof id, "%08x%08x", 0xb0, number);
+    aStage.Expect(id,
+                  "0=150/failed;1=6000/done",
+                  Json::array({ Step(1, 150), Step(2, 6000) }),
+                  true,
+                  2);
+    accepted =
+      aStage.Submit(static_cast<std::size_t>(number) % 4, "/kept/", id, 3000)
+          .mStatus == 200 &&
+      accepted;
+    hopeless.emplace_back(id);
+    Sleep(500);
+  }
+  Sleep(4000);
+  isOver = true;
+  for (std::thread& other : others) {
+    other.join();
+  }
+  for (std::size_t number = 0; number < hopeless.size(); ++number) {
+    aStage.Ask(number % 4, "GET", "/kept/", hopeless[number], 3000);
+  }
+  return accepted;
+}
+
 }
--- a/review/common-2/main.cxx
+++ b/review/common-2/main.cxx
@@ -30,10 +30,9 @@
     const char* runners = std::getenv("RUNNERS");
     Stage stage(ledger, folder, runners == nullptr ? 2 : std::atoi(runners));
     const std::map<std::string, bool (*)(Stage&, bool)> cases = {
-      { "steps", &PlaySteps },
-      { "budget", &PlayBudget },
-      { "pending", &PlayPending },
-      { "starve", &PlayStarve },
+      { "steps", &PlaySteps },         { "budget", &PlayBudget },
+      { "pending", &PlayPending },     { "starve", &PlayStarve },
+      { "overtaken", &PlayOvertaken },
     };
     SetKinds(stage, which == "pending" ? 1 : which == "starve" ? 2 : 0);
     const auto found = cases.find(which);
--- a/review/common-2/worker.h
+++ b/review/common-2/worker.h
@@ -38,6 +38,9 @@
   Worker& operator=(const Worker&) = delete;
 
   const std::string& Id() const { return mId; }
+  /** Answers to hold orders that waited are on their way for up to this long,
+   * so that answers on other connections overtake them. */
+  void SetMaxAnswerDelay(int aMs) { mMaxAnswerDelayMs = aMs; }
   /** Percentage of the start orders that are carried out late. */
   void SetLateShare(int aPercent) { mLateShare = aPercent; }
 
@@ -323,6 +326,12 @@
       body["finished"].push_back(
         { end.mEnd, end.mTask, end.mNumber, end.mHow, "of " + end.mTask });
     }
+    const int delay = mMaxAnswerDelayMs;
+    if (wait > 0 && delay > 0) {
+      aLock.unlock();
+      std::this_thread::sleep_for(
+        std::chrono::milliseconds(std::rand() % delay));
+    }
     return { 200, body.dump() };
   }
 
@@ -447,6 +456,7 @@
   std::int64_t mDrainAckedMs = -1;
   std::string mKind = "a";
   std::atomic<int> mLateShare{ 0 };
+  std::atomic<int> mMaxAnswerDelayMs{ 0 };
   std::int64_t mFence = 0;
   std::int64_t mLeaseEnd = 0;
   std::int64_t mLastLapse = -1;
