Review: Lets a runner that has crashed take no order

A request that was under way when the stand-in crashed was still carried out, which a mix with lost answers showed as two runs on one runner. The cases are not changed by it: each is broken as before, once each.

--- a/review/common-2/worker.h
+++ b/review/common-2/worker.h
@@ -174,6 +174,9 @@
     }
     const Json body = Json::parse(aRequest.mBody);
     std::unique_lock<std::mutex> lock(mLedger.Mutex());
+    if (!mIsUp) {
+      return {};
+    }
     const auto expected = aRequest.mFields.find("expect-instance");
     if (expected != aRequest.mFields.end() && expected->second != mId) {
       return { 421, Basics().dump() };
