--- a/review/common-2/cases.h
+++ b/review/common-2/cases.h
@@ -289,4 +289,43 @@
   return accepted;
 }
 
+/** A job that need not be kept is cancelled, the leader is killed, and the
+ * request that handed the job in arrives once more. */
+inline bool
+PlayCancelled(Stage& aStage, bool aHasTrouble)
+{
+  const std::string id = "5c0e7a21d94b3710";
+  aStage.Expect(id, "0=6000/done", Json::array({ Step(2, 6000) }), false, 2);
+  const int leader = aStage.Leader();
+  if (leader < 0) {
+    return false;
+  }
+  const auto core = static_cast<std::size_t>(leader);
+  Answer answer;
+  std::thread client(
+    [&] { answer = aStage.Submit((core + 1) % 4, "/best/", id, 15000); });
+  const bool runs = aStage.AwaitRun(id + ".0.0.0", 1, 5000);
+  Sleep(300);
+  const Answer cancelled =
+    aStage.Ask((core + 2) % 4, "DELETE", "/best/", id, 3000);
+  {
+    Ledger& seen = aStage.Seen();
+    const std::lock_guard<std::mutex> lock(seen.Mutex());
+    seen.Jobs()[id].mCancelAckedMs = seen.Now();
+  }
+  client.join();
+  if (aHasTrouble) {
+    aStage.Core(core).Kill();
+    Sleep(500);
+    aStage.Core(core).Start();
+    // contact_ms after the last event, and some more.
+    Sleep(4000);
+  } else {
+    Sleep(4500);
+  }
+  const Answer again = aStage.Submit((core + 3) % 4, "/best/", id, 8000);
+  return runs && cancelled.mStatus == 200 && answer.mStatus == 200 &&
+         again.mStatus != 0;
+}
+
 }
--- a/review/common-2/main.cxx
+++ b/review/common-2/main.cxx
@@ -32,7 +32,7 @@
     const std::map<std::string, bool (*)(Stage&, bool)> cases = {
       { "steps", &PlaySteps },         { "budget", &PlayBudget },
       { "pending", &PlayPending },     { "starve", &PlayStarve },
-      { "overtaken", &PlayOvertaken },
+      { "overtaken", &PlayOvertaken }, { "cancelled", &PlayCancelled },
     };
     SetKinds(stage, which == "pending" ? 1 : which == "starve" ? 2 : 0);
     const auto found = cases.find(which);
