--- a/review/common-2/cases.h
+++ b/review/common-2/cases.h
@@ -328,4 +328,72 @@
          again.mStatus != 0;
 }
 
+/** As PlayOvertaken(), with jobs that are cancelled while they run. */
+inline bool
+PlayWithdrawn(Stage& aStage, bool aHasTrouble)
+{
+  for (std::size_t runner = 0; runner < aStage.Runners(); ++runner) {
+    aStage.Runner(runner).SetMaxAnswerDelay(aHasTrouble ? 20 : 0);
+  }
+  std::atomic<bool> isOver{ false };
+  std::vector<std::thread> others;
+  for (int client = 0; client < 8; ++client) {
+    others.emplace_back([&, client] {
+      for (int number = 0; !isOver; ++number) {
+        char id[17];
+        std::snprintf(id, sizeof id, "%08x%08x", 0xa0 + client, number);
+        aStage.Expect(id, "0=60/done", Json::array({ Step(4, 60) }), true, 2);
+        aStage.Submit(static_cast<std::size_t>(client) % 4, "/kept/", id, 3000);
+        Sleep(100);
+      }
+    });
+  }
+  std::vector<std::thread> clients;
+  std::vector<std::string> withdrawn;
+  for (int number = 0; number < 12; ++number) {
+    char id[17];
+    std::snprintf(id, sizeof id, "%08x%08x", 0xc0, number);
+    aStage.Expect(id, "0=8000/done", Json::array({ Step(3, 8000) }), false, 2);
+    withdrawn.emplace_back(id);
+    const auto zone = static_cast<std::size_t>(number) % 4;
+    clients.emplace_back([&aStage, job = std::string(id), zone] {
+      aStage.Submit(zone, "/best/", job, 20000);
+    });
+    aStage.AwaitRun(std::string(id) + ".0.0.0", 1, 3000);
+    Sleep(300);
+    const Answer answer =
+      aStage.Ask((zone + 1) % 4, "DELETE", "/best/", id, 3000);
+    Ledger& seen = aStage.Seen();
+    const std::lock_guard<std::mutex> lock(seen.Mutex());
+    if (answer.mStatus == 200) {
+      seen.Jobs()[id].mCancelAckedMs = seen.Now();
+    }
+  }
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  Sleep(4000);
+  isOver = true;
+  for (std::thread& other : others) {
+    other.join();
+  }
+  Ledger& seen = aStage.Seen();
+  const std::lock_guard<std::mutex> lock(seen.Mutex());
+  for (const auto& [task, runs] : seen.Runs()) {
+    const JobSeen& job = seen.Jobs()[Ledger::JobOf(task)];
+    // cancel_ms and stop_timeout_ms.
+    const std::int64_t until = job.mCancelAckedMs + kCancelMs + 50;
+    for (const RunSeen& run : runs) {
+      const bool runsOn = job.mCancelAckedMs >= 0 && run.mStartMs <= until &&
+                          (run.mEndMs < 0 || run.mEndMs > until);
+      if (runsOn) {
+        seen.Break("UNASKED",
+                   task + " run " + std::to_string(run.mNumber) +
+                     " runs on after its cancelling");
+      }
+    }
+  }
+  return true;
+}
+
 }
--- a/review/common-2/main.cxx
+++ b/review/common-2/main.cxx
@@ -33,6 +33,7 @@
       { "steps", &PlaySteps },         { "budget", &PlayBudget },
       { "pending", &PlayPending },     { "starve", &PlayStarve },
       { "overtaken", &PlayOvertaken }, { "cancelled", &PlayCancelled },
+      { "withdrawn", &PlayWithdrawn },
     };
     SetKinds(stage, which == "pending" ? 1 : which == "starve" ? 2 : 0);
     const auto found = cases.find(which);
