Dispatch: Reads the settings of the new parts

Change: adds memory-mb, max-descriptors, data-centres, learn-run-times, spread-factor and admission with their checks; no part uses them yet. Measured: the rows of the settings test that name the new keys.

--- a/Source/Dispatch/NodeSettings.cxx
+++ b/Source/Dispatch/NodeSettings.cxx
@@ -14,6 +14,9 @@
 constexpr std::uint32_t kMaxToleratedLosses = 8;
 constexpr std::uint32_t kMaxDurationMs = 600'000;
 constexpr std::uint32_t kMillisecondsPerSecond = 1000;
+constexpr std::uint32_t kMinLimit = 16;
+constexpr std::uint32_t kMaxLimit = 100'000'000;
+constexpr std::uint32_t kMaxSpreadFactor = 100;
 
 std::vector<std::string>
 SplitList(std::string_view aText)
@@ -49,7 +52,7 @@
       std::string_view mKey;
       Set mSet;
     };
-    static constexpr std::array<Row, 17> kRows = { {
+    static constexpr std::array<Row, 23> kRows = { {
       { "role", &SettingsReader::SetRole },
       { "name", &SettingsReader::SetText<&NodeSettings::mName> },
       { "data-centre", &SettingsReader::SetText<&NodeSettings::mDataCentre> },
@@ -73,6 +76,14 @@
         &SettingsReader::SetMilliseconds<&NodeSettings::mShutdownGracePeriod> },
       { "grace-s",
         &SettingsReader::SetSeconds<&NodeSettings::mShutdownGracePeriod> },
+      { "memory-mb",
+        &SettingsReader::SetLimit<&NodeSettings::mMemoryMegabytes> },
+      { "max-descriptors",
+        &SettingsReader::SetLimit<&NodeSettings::mMaxDescriptors> },
+      { "data-centres", &SettingsReader::SetDataCentres },
+      { "learn-run-times", &SettingsReader::SetLearnRunTimes },
+      { "spread-factor", &SettingsReader::SetSpreadFactor },
+      { "admission", &SettingsReader::SetAdmission },
     } };
     const auto row =
       std::find_if(kRows.begin(), kRows.end(), [&](const Row& aRow) {
@@ -229,6 +240,56 @@
     return Success();
   }
 
+  template<std::uint32_t NodeSettings::*Field>
+  Result<void> SetLimit(const IniEntry& aEntry)
+  {
+    BOOST_OUTCOME_TRY(number, ParseNumber(aEntry, kMinLimit, kMaxLimit));
+    mSettings.*Field = number;
+    return Success();
+  }
+
+  Result<void> SetDataCentres(const IniEntry& aEntry)
+  {
+    mSettings.mDataCentres = SplitList(aEntry.mValue);
+    return Success();
+  }
+
+  Result<void> SetLearnRunTimes(const IniEntry& aEntry)
+  {
+    if (aEntry.mValue != "yes" && aEntry.mValue != "no") {
+      return Invalid(aEntry, "not a boolean", "yes, no");
+    }
+    mSettings.mLearnRunTimes = aEntry.mValue == "yes";
+    return Success();
+  }
+
+  Result<void> SetSpreadFactor(const IniEntry& aEntry)
+  {
+    double factor = 0;
+    const char* end = aEntry.mValue.data() + aEntry.mValue.size();
+    const auto parsed = std::from_chars(
+      aEntry.mValue.data(), end, factor, std::chars_format::fixed);
+    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == end;
+    if (!isNumber || !(factor >= 1 && factor <= kMaxSpreadFactor)) {
+      return Invalid(aEntry,
+                     "not a number in range",
+                     "1 to " + std::to_string(kMaxSpreadFactor));
+    }
+    mSettings.mSpreadFactor = factor;
+    return Success();
+  }
+
+  Result<void> SetAdmission(const IniEntry& aEntry)
+  {
+    const auto policy = ValueOf(kAdmissionPolicyNames, aEntry.mValue);
+    if (!policy) {
+      return Invalid(
+        aEntry, "unknown policy", AllowedNames(kAdmissionPolicyNames));
+    }
+    mSettings.mAdmission = *policy;
+    return Success();
+  }
+
   const std::string& mPath;
   NodeSettings mSettings;
 };
--- a/Source/Dispatch/NodeSettings.h
+++ b/Source/Dispatch/NodeSettings.h
@@ -26,6 +26,21 @@
   { NodeRole::Gateway, "gateway" },
 } };
 
+/** \brief How a leader decides whether it accepts a new job. */
+enum class AdmissionPolicy : std::uint8_t
+{
+  /** Limits the queue time to a fixed share of the time to the objective. */
+  Fixed,
+  /** Accepts what is expected to end by its objective. */
+  ExpectedEnd
+};
+
+inline constexpr std::array<EnumName<AdmissionPolicy>, 2>
+  kAdmissionPolicyNames = { {
+    { AdmissionPolicy::Fixed, "fixed" },
+    { AdmissionPolicy::ExpectedEnd, "expected-end" },
+  } };
+
 /** \brief Settings of an instance of a dispatch installation. */
 struct NodeSettings
 {
@@ -56,6 +71,17 @@
   std::chrono::milliseconds mWorkerReportInterval{ 1500 };
   /** Time between SIGTERM and the end of the process by the platform. */
   std::chrono::milliseconds mShutdownGracePeriod{ 6000 };
+  /** Memory and file descriptors that the process may use; zero if unknown. */
+  std::uint32_t mMemoryMegabytes = 0;
+  std::uint32_t mMaxDescriptors = 0;
+  /** Data centres of the installation. */
+  std::vector<std::string> mDataCentres;
+  /** Whether the leader learns the run times of queues and workers. */
+  bool mLearnRunTimes = false;
+  /** Factor by which a task takes longer away from its data or its group; 1 if
+   * it does not matter where a task runs. */
+  double mSpreadFactor = 1.0;
+  AdmissionPolicy mAdmission = AdmissionPolicy::Fixed;
 };
 
 /** Reads the settings. Errors: InvalidSettings, with file, line, key and the
--- a/Tests/Dispatch/NodeSettingsTest.cxx
+++ b/Tests/Dispatch/NodeSettingsTest.cxx
@@ -61,6 +61,42 @@
   CHECK(settings.value().mMaxLease.count() == 1000);
 }
 
+// A deployment whose settings lack these keys must be served as before.
+TEST_CASE("Node settings: new parts are off unless the settings name them")
+{
+  const auto absent = ParseNodeSettings("f.ini", kCoordinatorSettings);
+  REQUIRE(absent);
+  CHECK(absent.value().mMemoryMegabytes == 0);
+  CHECK(absent.value().mMaxDescriptors == 0);
+  CHECK(absent.value().mDataCentres.empty());
+  CHECK_FALSE(absent.value().mLearnRunTimes);
+  CHECK(absent.value().mSpreadFactor == 1.0);
+  CHECK(absent.value().mAdmission == AdmissionPolicy::Fixed);
+
+  const auto present =
+    ParseNodeSettings("f.ini",
+                      kCoordinatorSettings + "memory-mb = 256
+"
+                                             "max-descriptors = 4096
+"
+                                             "data-centres = zagreb,sisak
+"
+                                             "learn-run-times = yes
+"
+                                             "spread-factor = 1.5
+"
+                                             "admission = expected-end
+");
+  REQUIRE(present);
+  CHECK(present.value().mMemoryMegabytes == 256);
+  CHECK(present.value().mMaxDescriptors == 4096);
+  CHECK(present.value().mDataCentres ==
+        std::vector<std::string>{ "zagreb", "sisak" });
+  CHECK(present.value().mLearnRunTimes);
+  CHECK(present.value().mSpreadFactor == 1.5);
+  CHECK(present.value().mAdmission == AdmissionPolicy::ExpectedEnd);
+}
+
 TEST_CASE("Node settings: a changed file is noticed once, an empty one is not")
 {
   const std::filesystem::path path =
@@ -94,6 +130,12 @@
                           Row{ "max-hold-ms = 1e3", "1 to 600000" },
                           Row{ "max-hold-ms = nan", "1 to 600000" },
                           Row{ "grace-s = 601", "1 to 600000" },
+                          Row{ "memory-mb = 15", "16 to 100000000" },
+                          Row{ "max-descriptors = x", "16 to 100000000" },
+                          Row{ "learn-run-times = true", "yes, no" },
+                          Row{ "spread-factor = 0.5", "1 to 100" },
+                          Row{ "spread-factor = inf", "1 to 100" },
+                          Row{ "admission = all", "fixed, expected-end" },
                           Row{ "colour = red", "unknown key" } }) {
     INFO(row.mLine);
     const auto settings =
