Consensus: Bootstraps a group whose first voters were restarted

Cause: a first voter that was killed before the bootstrap and started again without permission to bootstrap counted as a former member. Change: the identity of a storage records that it was created while the group could still be bootstrapped; such a replica stays fresh after a restart. The first voter by name, if it is fresh itself and a majority is, bootstraps with the fresh ones; one that may have lost its storage joins as a learner. A group cannot exist then, since only that voter creates it. Ruled out: permission for a first voter by name that has lost its storage, which cannot tell it from a lost group. The test of replicas that must not bootstrap now empties their storages first: they had been created with the permission.

--- a/Source/Consensus/ConsensusCore.cxx
+++ b/Source/Consensus/ConsensusCore.cxx
@@ -59,8 +59,8 @@
       mLog.Append(std::move(entry));
     }
   }
-  if (!mOptions.mMayBootstrap && !IsAdmitted()) {
-    mIdentity.mEverAdmitted = true;
+  if (!IsAdmitted()) {
+    UpdateUnadmittedIdentity();
   }
   if (mLog.Last().mTerm > mHardState.mTerm) {
     mHardState.mTerm = mLog.Last().mTerm;
--- a/Source/Consensus/ConsensusCore.h
+++ b/Source/Consensus/ConsensusCore.h
@@ -270,10 +270,13 @@
     std::uint64_t mHeartbeatRound;
   };
   /** A replica without any state, from its latest Join message. */
-  struct FreshReplica
+  /** \brief A replica that belongs to no group. */
+  struct UnadmittedReplica
   {
     StorageIncarnation mIncarnation;
     TimePoint mSeen;
+    /** False if the replica may have lost its storage. */
+    bool mIsFresh;
   };
   struct VerifyAnswer
   {
@@ -386,9 +389,16 @@
   void ReplyToFreshVoter(const ReplicaId& aVoter);
   /** Whether this replica has a disk and has never belonged to a group. */
   bool IsFresh() const;
+  /** Decides whether this replica may take part in the bootstrap of the group.
+   * A replica that is restarted before the bootstrap may; one whose storage was
+   * lost may not. */
+  void UpdateUnadmittedIdentity();
   void OnJoinHint(const InstanceName& aFrom, ConsensusMessage& aMessage);
   void OnBootstrap(const InstanceName& aFrom, ConsensusMessage& aMessage);
   void TryBootstrap();
+  /** Returns the voters to bootstrap the group with, or nothing if it must not
+   * be bootstrapped yet. */
+  std::vector<ReplicaId> BootstrapVoters() const;
   void AdoptBootstrap(const LogEntry& aEntry, std::uint64_t aBootstrapId);
   void StartVerifying();
   void ContinueVerifying();
@@ -469,7 +479,7 @@
   /** Highest position that each replica is known to have acknowledged, to
    * detect a replica that lost state. */
   std::map<ReplicaId, LogPosition> mAcknowledgedPositions;
-  std::map<InstanceName, FreshReplica> mFreshReplicas;
+  std::map<InstanceName, UnadmittedReplica> mUnadmittedReplicas;
 
   // Snapshot being received.
   Snapshot mIncomingSnapshot;
--- a/Source/Consensus/ConsensusCoreMembership.cxx
+++ b/Source/Consensus/ConsensusCoreMembership.cxx
@@ -42,6 +42,18 @@
   return !IsAdmitted() && !mIdentity.mEverAdmitted && mOptions.mDurable;
 }
 
+void
+ConsensusCore::UpdateUnadmittedIdentity()
+{
+  if (mOptions.mMayBootstrap && IsFresh() && !mIdentity.mCreatedForBootstrap) {
+    mIdentity.mCreatedForBootstrap = true;
+    mPendingWrite.mNewIdentity = mIdentity;
+  }
+  if (!mOptions.mMayBootstrap && !mIdentity.mCreatedForBootstrap) {
+    mIdentity.mEverAdmitted = true;
+  }
+}
+
 void
 ConsensusCore::SendJoins()
 {
@@ -70,12 +82,14 @@
 ConsensusCore::OnJoin(const InstanceName& aFrom, ConsensusMessage& aMessage)
 {
   if (!IsAdmitted()) {
-    mFreshReplicas.erase(aFrom);
+    mUnadmittedReplicas.erase(aFrom);
     const auto& initial = mOptions.mInitialVoters;
     const bool expected =
       std::find(initial.begin(), initial.end(), aFrom) != initial.end();
-    if (aMessage.mFlag && expected) {
-      mFreshReplicas[aFrom] = { aMessage.mIncarnation, mNow };
+    if (aMessage.mBootstrapId == 0 && expected) {
+      mUnadmittedReplicas[aFrom] = { aMessage.mIncarnation,
+                                     mNow,
+                                     aMessage.mFlag };
       TryBootstrap();
     }
     return;
@@ -181,29 +195,45 @@
   }
 }
 
-void
-ConsensusCore::TryBootstrap()
+std::vector<ReplicaId>
+ConsensusCore::BootstrapVoters() const
 {
   const std::set<InstanceName> initial(mOptions.mInitialVoters.begin(),
                                        mOptions.mInitialVoters.end());
   // Only the first voter by name bootstraps, so that there is a single group.
   if (!IsFresh() || initial.empty() || *initial.begin() != mOptions.mSelf) {
-    return;
+    return {};
   }
-  GroupConfiguration configuration;
+  const auto validity =
+    mOptions.mTimings.mJoinInterval * kFreshReplicaValidityIntervals;
+  std::vector<ReplicaId> voters{ Self() };
   for (const InstanceName& name : initial) {
+    const auto known = mUnadmittedReplicas.find(name);
     if (name == mOptions.mSelf) {
-      configuration.mVoters.push_back(Self());
       continue;
     }
-    const auto fresh = mFreshReplicas.find(name);
-    const auto validity =
-      mOptions.mTimings.mJoinInterval * kFreshReplicaValidityIntervals;
-    if (fresh == mFreshReplicas.end() ||
-        mNow - fresh->second.mSeen > validity) {
-      return;
+    if (known == mUnadmittedReplicas.end() ||
+        mNow - known->second.mSeen > validity) {
+      return {};
+    }
+    if (known->second.mIsFresh) {
+      voters.push_back({ name, known->second.mIncarnation });
     }
-    configuration.mVoters.push_back({ name, fresh->second.mIncarnation });
+  }
+  // This replica is the only one that bootstraps and has not done so. A replica
+  // that may have lost its storage can therefore not have been in a group. It
+  // joins as a learner.
+  const bool isMajority = voters.size() > initial.size() / 2;
+  return isMajority ? voters : std::vector<ReplicaId>{};
+}
+
+void
+ConsensusCore::TryBootstrap()
+{
+  GroupConfiguration configuration;
+  configuration.mVoters = BootstrapVoters();
+  if (configuration.mVoters.empty()) {
+    return;
   }
   AdoptBootstrap({ 1,
                    kBootstrapTerm,
@@ -226,7 +256,7 @@
   SaveHardState();
   AppendToLog(aEntry);
   mCommitIndex = 1;
-  mFreshReplicas.clear();
+  mUnadmittedReplicas.clear();
   ResetElectionTimer();
 }
 
--- a/Source/Consensus/ConsensusTypes.h
+++ b/Source/Consensus/ConsensusTypes.h
@@ -171,8 +171,11 @@
   /** Whether the instance has belonged to the group, possibly under an earlier
    * incarnation; such a replica never bootstraps a group. */
   bool mEverAdmitted = false;
+  /** Whether the storage was created while the group could still be
+   * bootstrapped. Such a storage has not lost an earlier membership. */
+  bool mCreatedForBootstrap = false;
 
-  MSGPACK_DEFINE(mIncarnation, mEverAdmitted)
+  MSGPACK_DEFINE(mIncarnation, mEverAdmitted, mCreatedForBootstrap)
 };
 
 /** \brief State machine and membership as of one log index. */
--- a/Tests/Consensus/VoterCountTest.cxx
+++ b/Tests/Consensus/VoterCountTest.cxx
@@ -94,8 +94,68 @@
   CoreGroup group({ "a", "b", "c" });
   group.mMayBootstrap = false;
   for (const char* name : { "a", "b", "c" }) {
+    group.Stop(name);
+    group.At(name).mStorage.Wipe();
+    group.Start(name);
+  }
+  group.Advance(seconds(30));
+  CHECK(group.Leader().empty());
+  CHECK(group.Status("a").mRole == ReplicaRole::Unadmitted);
+}
+
+// Guards against a group that is never created because one of its first voters
+// was killed before the bootstrap and then started without permission to
+// bootstrap.
+TEST_CASE("Voters: a first voter that restarts before the bootstrap takes part")
+{
+  const std::string restarted = GENERATE("a", "b", "c");
+  const bool isStorageLost = GENERATE(false, true);
+  INFO(restarted << (isStorageLost ? " without its storage" : ""));
+  CoreGroup group({ "a", "b", "c" });
+  StartWithTargetVoters(group, 3);
+  group.Isolate(restarted);
+  group.Advance(seconds(2));
+  CHECK(group.Leader().empty());
+  group.Stop(restarted);
+  if (isStorageLost) {
+    group.At(restarted).mStorage.Wipe();
+  }
+  group.mMayBootstrap = false;
+  group.Start(restarted);
+  group.HealNetwork();
+  // The only voter that bootstraps cannot tell a lost storage from a group that
+  // it has lost.
+  if (isStorageLost && restarted == "a") {
+    group.Advance(seconds(30));
+    CHECK(group.Leader().empty());
+    return;
+  }
+  const InstanceName leader = group.AwaitLeader();
+  REQUIRE_FALSE(leader.empty());
+  CHECK(group.AdvanceUntil([&] { return group.IsVoter(restarted, leader); }));
+  REQUIRE(group.Propose(leader, "first"));
+  group.Advance(seconds(2));
+  for (const char* name : { "a", "b", "c" }) {
+    INFO(name);
+    const auto& applied = group.At(name).mApplied;
+    CHECK(std::count(applied.begin(), applied.end(), "first") == 1);
+  }
+}
+
+TEST_CASE("Voters: a replica that was admitted never bootstraps a second group")
+{
+  CoreGroup group({ "a", "b", "c" });
+  StartWithTargetVoters(group, 3);
+  const InstanceName leader = group.AwaitLeader();
+  REQUIRE(group.Propose(leader, "kept"));
+  group.Advance(seconds(1));
+  group.mMayBootstrap = false;
+  for (const char* name : { "a", "b" }) {
+    group.Stop(name);
+    group.At(name).mStorage.Wipe();
     group.Start(name);
   }
+  group.Isolate("c");
   group.Advance(seconds(30));
   CHECK(group.Leader().empty());
   CHECK(group.Status("a").mRole == ReplicaRole::Unadmitted);
