Tool: Checks a manifest before it is sent

Cause: a coordinator accepts manifests with queues that no request can reach, or with limits that contradict each other, and operators see the effect only after the manifest is in force. The tool decodes with the codec of the coordinators, passed in as a function. Ruled out: refusing such manifests at the coordinator, since they are valid.

--- a/Source/Tool/Command.h
+++ b/Source/Tool/Command.h
@@ -71,6 +71,10 @@
 Result<void>
 RunSettingsCheck(ToolContext& aContext, CommandLine& aLine);
 
+// Manifest of a dispatch installation
+Result<void>
+RunManifestCheck(ToolContext& aContext, CommandLine& aLine);
+
 // Benchmarks
 Result<void>
 RunBench(ToolContext& aContext, CommandLine& aLine);
--- a/Source/Tool/Main.cxx
+++ b/Source/Tool/Main.cxx
@@ -11,6 +11,7 @@
 #include "Tool/CurlHttpClient.h"
 #include "Tool/SettingsCheck.h"
 #include "Tool/Tool.h"
+#include "platform/ManifestCodec.h"
 
 using namespace almondspoke;
 using namespace almondspoke::tool;
@@ -47,7 +48,8 @@
                        isatty(STDERR_FILENO) != 0,
                        &EnvironmentVariable,
                        &CheckSettingsFile,
-                       &NewId };
+                       &NewId,
+                       &platform::DecodeManifest };
   return RunTool(context,
                  std::vector<std::string>(aArguments + 1, aArguments + aCount));
 }
--- a/Source/Tool/ToolContext.h
+++ b/Source/Tool/ToolContext.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Base/Result.h"
+#include "Dispatch/Manifest.h"
 #include "Tool/HttpClient.h"
 
 namespace almondspoke::tool {
@@ -27,6 +28,9 @@
   std::function<Result<void>(const std::string& aPath)> mCheckSettings;
   /** Returns a new random id. */
   std::function<std::string()> mNewId;
+  /** Decodes and checks a manifest as operators send it. */
+  std::function<Result<dispatch::Manifest>(const std::string& aText)>
+    mDecodeManifest;
 };
 
 }
--- a/Tests/Tool/ToolFixture.h
+++ b/Tests/Tool/ToolFixture.h
@@ -32,7 +32,8 @@
       mIsTerminal,
       [this](const std::string& aName) { return EnvironmentVariable(aName); },
       [this](const std::string&) { return mSettingsResult; },
-      [] { return std::string("new-id"); }
+      [] { return std::string("new-id"); },
+      [this](const std::string& aText) { return DecodeManifest(aText); }
     };
     return tool::RunTool(context, aArguments);
   }
@@ -43,10 +44,20 @@
   std::istringstream mIn;
   bool mIsTerminal = false;
   std::map<std::string, std::string> mEnvironment;
+  /** Manifests by the text that decodes to them. */
+  std::map<std::string, dispatch::Manifest> mManifests;
   /** Result of every check of a settings file. */
   Result<void> mSettingsResult = Success();
 
 private:
+  Result<dispatch::Manifest> DecodeManifest(const std::string& aText) const
+  {
+    const auto found = mManifests.find(aText);
+    if (found == mManifests.end()) {
+      return Error(ErrorKind::InvalidArgument, "not a manifest");
+    }
+    return found->second;
+  }
   std::optional<std::string> EnvironmentVariable(const std::string& aName) const
   {
     const auto found = mEnvironment.find(aName);
--- a/Utilities/completion/almondspoke.bash
+++ b/Utilities/completion/almondspoke.bash
@@ -21,6 +21,7 @@
     "instances list"
     "status"
     "settings check"
+    "manifest check"
     "explain"
     "bench"
     "help"
@@ -38,6 +39,7 @@
     "voters add"*|"voters remove"*)
       options+=" --group --base --request-id --author" ;;
     "voters show"*) options+=" --group" ;;
+    "manifest check"*) options+=" --in-force" ;;
     "rules diff"*|"rules show"*) options+=" --version" ;;
     "rules explain"*) options+=" --file --version" ;;
     "rules history"*) options+=" --limit" ;;
