Dispatch: Stores which data centres are evacuated

Operators must be able to stop starts in a data centre, across changes of leader and power loss. DispatchState keeps the latest change of each data centre with a revision. A record is idempotent, and the last one in log order wins.

--- a/Source/Dispatch/DispatchState.cxx
+++ b/Source/Dispatch/DispatchState.cxx
@@ -9,15 +9,17 @@
 
 namespace {
 
-/** \brief Serialized form of a DispatchState in snapshots. */
+/** \brief Serialized form of a DispatchState in snapshots. Fields are only
+ * appended, since snapshots of earlier versions lack the last ones. */
 struct PackedState
 {
   Fence mFence = 0;
   Manifest mManifest;
   std::vector<WorkerReport> mWorkers;
   std::vector<StoredJob> mJobs;
+  Evacuations mEvacuations;
 
-  MSGPACK_DEFINE(mFence, mManifest, mWorkers, mJobs)
+  MSGPACK_DEFINE(mFence, mManifest, mWorkers, mJobs, mEvacuations)
 };
 
 bool
@@ -155,6 +157,7 @@
   for (const auto& [id, job] : aState.mJobs) {
     packed.mJobs.push_back(job);
   }
+  packed.mEvacuations = aState.mEvacuations;
   return PackMessage(packed);
 }
 
@@ -164,6 +167,7 @@
   BOOST_OUTCOME_TRY(packed, UnpackMessage<PackedState>(aBytes));
   DispatchState state;
   state.mFence = packed.mFence;
+  state.mEvacuations = std::move(packed.mEvacuations);
   if (packed.mManifest.mVersion > 0) {
     state.mManifest =
       std::make_shared<const Manifest>(std::move(packed.mManifest));
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -8,6 +8,7 @@
 
 #include <msgpack.hpp>
 
+#include "Dispatch/Evacuations.h"
 #include "Dispatch/JobMessages.h"
 #include "Dispatch/Manifest.h"
 #include "Dispatch/WorkerCalls.h"
@@ -52,6 +53,7 @@
   /** Workers that may have runs started by a leader. */
   std::map<WorkerId, WorkerReport> mWorkers;
   std::map<JobId, StoredJob> mJobs;
+  Evacuations mEvacuations;
 };
 
 /** \brief End of a run of a stored job. */
--- a/Source/Dispatch/DispatchStateMachine.cxx
+++ b/Source/Dispatch/DispatchStateMachine.cxx
@@ -1,5 +1,6 @@
 #include "Dispatch/DispatchStateMachine.h"
 
+#include <charconv>
 #include <utility>
 
 #include <glog/logging.h>
@@ -13,9 +14,13 @@
 /** The first byte of a command is its type. */
 constexpr char kManifestCommand = 'M';
 constexpr char kBatchCommand = 'B';
+constexpr char kEvacuationCommand = 'E';
 
 constexpr const char* kAppliedResponse = "taken";
 constexpr const char* kOutdatedResponse = "outdated";
+/** Followed by the current revision. */
+constexpr std::string_view kOutdatedRevisionResponse = "outdated ";
+constexpr const char* kFullResponse = "full";
 
 template<typename Message>
 std::string
@@ -26,8 +31,11 @@
 
 }
 
-DispatchStateMachine::DispatchStateMachine(Observer aObserver)
+DispatchStateMachine::DispatchStateMachine(
+  Observer aObserver,
+  EvacuationObserver aEvacuationObserver)
   : mObserver(std::move(aObserver))
+  , mEvacuationObserver(std::move(aEvacuationObserver))
 {
 }
 
@@ -43,12 +51,31 @@
   return EncodeCommand(kBatchCommand, aBatch);
 }
 
+std::string
+DispatchStateMachine::CommandOf(const EvacuationRecord& aRecord)
+{
+  return EncodeCommand(kEvacuationCommand, aRecord);
+}
+
 bool
 DispatchStateMachine::WasApplied(const std::string& aResponse)
 {
   return aResponse == kAppliedResponse;
 }
 
+std::optional<std::uint64_t>
+DispatchStateMachine::RevisionIfOutdated(const std::string& aResponse)
+{
+  const std::size_t begin = kOutdatedRevisionResponse.size();
+  if (aResponse.compare(0, begin, kOutdatedRevisionResponse) != 0) {
+    return std::nullopt;
+  }
+  std::uint64_t revision = 0;
+  const char* end = aResponse.data() + aResponse.size();
+  const auto parsed = std::from_chars(aResponse.data() + begin, end, revision);
+  return parsed.ec == std::errc() ? std::make_optional(revision) : std::nullopt;
+}
+
 std::string
 DispatchStateMachine::Apply(LogIndex aIndex, std::string_view aCommand)
 {
@@ -68,6 +95,13 @@
                                                : kOutdatedResponse;
     }
   }
+  if (kind == kEvacuationCommand) {
+    const Result<EvacuationRecord> record =
+      UnpackMessage<EvacuationRecord>(aCommand);
+    if (record) {
+      return ApplyEvacuation(record.value());
+    }
+  }
   LOG(ERROR) << "log entry " << aIndex << " is not a valid dispatch command";
   return {};
 }
@@ -90,6 +124,36 @@
   return kAppliedResponse;
 }
 
+std::string
+DispatchStateMachine::ApplyEvacuation(const EvacuationRecord& aRecord)
+{
+  EvacuationEffect effect = EvacuationEffect::Unchanged;
+  std::uint64_t revision = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    effect = mState.mEvacuations.Apply(aRecord);
+    revision = mState.mEvacuations.Revision();
+  }
+  if (effect == EvacuationEffect::Outdated) {
+    return std::string(kOutdatedRevisionResponse) + std::to_string(revision);
+  }
+  if (effect == EvacuationEffect::Full) {
+    return kFullResponse;
+  }
+  if (effect == EvacuationEffect::Changed) {
+    NotifyOfEvacuations();
+  }
+  return kAppliedResponse;
+}
+
+void
+DispatchStateMachine::NotifyOfEvacuations() const
+{
+  if (mEvacuationObserver) {
+    mEvacuationObserver();
+  }
+}
+
 std::string
 DispatchStateMachine::TakeSnapshot() const
 {
@@ -109,6 +173,7 @@
   if (manifest) {
     mObserver(manifest);
   }
+  NotifyOfEvacuations();
   return Success();
 }
 
@@ -126,4 +191,11 @@
   return mState;
 }
 
+Evacuations
+DispatchStateMachine::CurrentEvacuations() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mState.mEvacuations;
+}
+
 }
--- a/Source/Dispatch/DispatchStateMachine.h
+++ b/Source/Dispatch/DispatchStateMachine.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "Consensus/StateMachine.h"
@@ -18,16 +19,25 @@
 {
 public:
   using Observer = std::function<void(std::shared_ptr<const Manifest>)>;
+  using EvacuationObserver = std::function<void()>;
 
-  /** \param aObserver called on the consensus group's thread with each new
-   *        manifest */
-  explicit DispatchStateMachine(Observer aObserver);
+  /** Both observers are called on the consensus group's thread.
+   * \param aObserver called with each new manifest
+   * \param aEvacuationObserver called after the evacuated data centres may
+   *        have changed */
+  explicit DispatchStateMachine(Observer aObserver,
+                                EvacuationObserver aEvacuationObserver = {});
 
   static std::string CommandOf(const Manifest& aManifest);
   static std::string CommandOf(const RecordBatch& aBatch);
-  /** Returns whether the response to a RecordBatch says that the batch was
-   * applied. */
+  static std::string CommandOf(const EvacuationRecord& aRecord);
+  /** Returns whether the response to a RecordBatch or an EvacuationRecord says
+   * that it was applied. */
   static bool WasApplied(const std::string& aResponse);
+  /** Returns the current revision if the response to an EvacuationRecord says
+   * that it was outdated. */
+  static std::optional<std::uint64_t> RevisionIfOutdated(
+    const std::string& aResponse);
 
   std::string Apply(LogIndex aIndex, std::string_view aCommand) override;
   std::string TakeSnapshot() const override;
@@ -36,11 +46,15 @@
   /** The current manifest, or null if there is none. */
   std::shared_ptr<const Manifest> CurrentManifest() const;
   DispatchState CurrentState() const;
+  Evacuations CurrentEvacuations() const;
 
 private:
   std::string ApplyManifest(const Manifest& aManifest);
+  std::string ApplyEvacuation(const EvacuationRecord& aRecord);
+  void NotifyOfEvacuations() const;
 
   const Observer mObserver;
+  const EvacuationObserver mEvacuationObserver;
   mutable std::mutex mMutex;
   DispatchState mState;
 };
