Dispatch: Starts nothing in an evacuated data centre

The index skips the listing of an evacuated data centre, one check for each listing of a search. Its cores are not counted as usable, so that admission refuses what only they could serve, and its workers do not count for the largest capacity, so that jobs which only they can run are in a class of their own and do not delay others. Runs there continue under their leases. A new leader and a local leader take the data centres from the stored state before their first decision.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -89,6 +89,7 @@
                           const LeadershipScope& aScope)
 {
   Resign();
+  SetEvacuated(aState.mEvacuations.Evacuated());
   mLeading = true;
   mFence = aFence;
   mScope = aScope;
@@ -99,7 +100,8 @@
     .With("workers", std::uint64_t{ aState.mWorkers.size() })
     .With("reports", std::uint64_t{ aReports.size() })
     .With("stored_jobs", std::uint64_t{ aState.mJobs.size() })
-    .With("manifest", mManifest ? mManifest->mVersion : 0);
+    .With("manifest", mManifest ? mManifest->mVersion : 0)
+    .With("evacuated", std::uint64_t{ mEvacuated.size() });
   if (!mScope.IsLocal()) {
     for (const auto& [id, job] : aState.mJobs) {
       LoadStoredJob(job);
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -180,6 +180,10 @@
 
   void SetManifest(std::shared_ptr<const Manifest> aManifest);
 
+  /** Sets the data centres in which nothing is started. Runs there continue. */
+  void SetEvacuated(const DataCentreNames& aNames);
+  const DataCentreNames& Evacuated() const { return mEvacuated; }
+
   void Call(CallId aCall, const JobCall& aRequest);
   void OnCallerLeft(const CallerLeft& aLeft);
   void OnReport(const WorkerReport& aReport);
@@ -250,6 +254,10 @@
   bool DefersToElectedLeader(CallId aCall, const JobCall& aRequest);
   bool HasOrphansOf(const JobId& aJob) const;
 
+  // Evacuated data centres (CoordinatorEvacuation.cxx).
+  std::vector<WorkerSession*> WorkersIn(const DataCentreNames& aNames);
+  void LogEvacuation(const std::string& aDataCentre);
+
   // Jobs and tasks (CoordinatorJobs.cxx).
   DispatchJob* FindJob(const JobId& aId);
   void MarkStepReady(DispatchJob& aJob, std::uint32_t aStep);
@@ -411,6 +419,7 @@
   std::map<std::string, TimePoint> mExcludedCalls;
   TimePoint mLeadingSince{};
   std::shared_ptr<const Manifest> mManifest;
+  DataCentreNames mEvacuated;
   WorkerSessions mWorkers;
   WorkerIndex mIndex;
   StartWindows mWindows;
--- a/Source/Dispatch/CoordinatorWorkers.cxx
+++ b/Source/Dispatch/CoordinatorWorkers.cxx
@@ -311,8 +311,9 @@
 void
 Coordinator::CountUsableCores(WorkerSession& aWorker, TimePoint aNow)
 {
-  const bool usable =
-    aWorker.IsUsable() && !aWorker.mHealth.IsQuarantined(aNow);
+  const bool usable = aWorker.IsUsable() &&
+                      !aWorker.mHealth.IsQuarantined(aNow) &&
+                      mEvacuated.count(aWorker.Report().mDataCentre) == 0;
   CountUsableCores(aWorker,
                    usable ? aWorker.Report().mCapacity.mMilliCores : 0);
 }
--- a/Source/Dispatch/WorkerIndex.cxx
+++ b/Source/Dispatch/WorkerIndex.cxx
@@ -71,7 +71,8 @@
   for (const std::string& label : aWorker.Report().mLabels) {
     ++pool.mLabelCounts[label];
   }
-  if (pool.mCapacity.Add(aWorker.Report().mCapacity)) {
+  if (!IsEvacuated(aWorker.Report().mDataCentre) &&
+      pool.mCapacity.Add(aWorker.Report().mCapacity)) {
     ++mCapacityVersion;
   }
   List(aWorker);
@@ -90,7 +91,8 @@
       pool.mByLabel.erase(label);
     }
   }
-  if (pool.mCapacity.Remove(aWorker.Report().mCapacity)) {
+  if (!IsEvacuated(aWorker.Report().mDataCentre) &&
+      pool.mCapacity.Remove(aWorker.Report().mCapacity)) {
     ++mCapacityVersion;
   }
 }
@@ -249,7 +251,7 @@
   Found best;
   for (auto entry = aListings.begin(); entry != aListings.end();) {
     auto& [dataCentre, listing] = *entry;
-    if (aSearch.mWindows.MayStartIn(dataCentre)) {
+    if (!IsEvacuated(dataCentre) && aSearch.mWindows.MayStartIn(dataCentre)) {
       const Found found = FindIn(listing, aIsCold, aSearch);
       best.mBest = BetterOf(best.mBest, found.mBest);
       best.mAvoided = BetterOf(best.mAvoided, found.mAvoided);
--- a/Source/Dispatch/WorkerIndex.h
+++ b/Source/Dispatch/WorkerIndex.h
@@ -6,8 +6,10 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 
 #include "Dispatch/DispatchJob.h"
+#include "Dispatch/Evacuations.h"
 #include "Dispatch/LargestCapacity.h"
 #include "Dispatch/StartWindow.h"
 #include "Dispatch/WorkerSession.h"
@@ -38,6 +40,10 @@
   void Remove(WorkerSession& aWorker);
   void Clear();
 
+  /** Sets the data centres whose workers are not chosen. The workers of those
+   * that differ from the former ones must have been removed. */
+  void SetEvacuated(DataCentreNames aNames) { mEvacuated = std::move(aNames); }
+
   void OnRoomChanged(WorkerSession& aWorker) override;
 
   /** Lists a worker again that was set aside. */
@@ -52,8 +58,8 @@
                         TimePoint aNow,
                         const StartWindows& aWindows);
 
-  /** Returns whether a task needs more than any worker of a pool has, busy or
-   * not; false if the pool has no workers. */
+  /** Returns whether a task needs more than any worker of a pool outside the
+   * evacuated data centres has, busy or not; false if there are none. */
   bool IsTooLarge(const PoolName& aPool, const Resources& aNeeds) const;
   /** Returns a number that changes whenever IsTooLarge() may have changed. */
   std::uint64_t CapacityVersion() const { return mCapacityVersion; }
@@ -120,6 +126,12 @@
                         Search& aSearch);
   Found FindIn(Listing& aListing, bool aIsCold, const Search& aSearch);
 
+  bool IsEvacuated(const std::string& aDataCentre) const
+  {
+    return !mEvacuated.empty() && mEvacuated.count(aDataCentre) != 0;
+  }
+
+  DataCentreNames mEvacuated;
   std::map<PoolName, PoolListings> mPools;
   /** Workers that cannot take runs, by number. */
   std::map<std::uint64_t, WorkerSession*> mAside;
