Dispatch: Takes requests to evacuate data centres at the control address

POST /evacuate/ZONE/start and /stop, the product's PUT and DELETE /v1/data-centres/NAME/evacuation, and GET /v1/data-centres are served by every coordinator. A request is proposed to the group, again if its outcome is unknown or it lagged behind, and answered once it is stored, or with 503 and Retry-After after 1,000 ms, so that an operator soon asks another coordinator. An unknown name is answered 404 with the known ones, from the settings, from workers' reports (64 at most) and from stored requests. Nothing is answered with a status that ends the operator's attempts.

--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -104,18 +104,42 @@
                  *this,
                  *this,
                  aParts.mLog)
-  , mReportExchange(
+  , mReportExchange(aParts.mClock,
+                    aParts.mRpc,
+                    aParts.mLog,
+                    mDirectory,
+                    mSelf,
+                    [this](const WorkerReport& aReport) {
+                      mDataCentres.OnReported(aReport.mDataCentre,
+                                              mClock.MonotonicNow());
+                      mCoordinator.OnReport(aReport);
+                    })
+  , mStateMachine(
+      [this](std::shared_ptr<const Manifest> aManifest) {
+        asio::post(mContext, [this, manifest = std::move(aManifest)] {
+          mCoordinator.SetManifest(manifest);
+        });
+      },
+      [this] {
+        // The state is read when the notification is handled, since a new
+        // leader may have begun with a later one by then.
+        asio::post(mContext, [this] {
+          mCoordinator.SetEvacuated(
+            mStateMachine.CurrentEvacuations().Evacuated());
+        });
+      })
+  , mEvacuationRequests(
       aParts.mClock,
-      aParts.mRpc,
       aParts.mLog,
-      mDirectory,
-      mSelf,
-      [this](const WorkerReport& aReport) { mCoordinator.OnReport(aReport); })
-  , mStateMachine([this](std::shared_ptr<const Manifest> aManifest) {
-    asio::post(mContext, [this, manifest = std::move(aManifest)] {
-      mCoordinator.SetManifest(manifest);
-    });
-  })
+      [this](std::string aCommand, EvacuationRequests::ProposalDone aDone) {
+        mGroup->Propose(
+          std::move(aCommand),
+          [this, done = std::move(aDone)](Result<std::string> aResult) {
+            asio::post(mContext,
+                       [done, result = std::move(aResult)] { done(result); });
+          });
+      },
+      [this] { return mStateMachine.CurrentEvacuations().Revision(); })
   , mChannel(aParts.mTransport)
   , mStorageWatch(aParts.mLog)
   , mTimer(aParts.mContext)
@@ -168,6 +192,8 @@
   for (const InstanceName& seed : SeedNamesOf(aSettings)) {
     mContacts.AddSeed(seed);
   }
+  mDataCentres.AddConfigured(aSettings.mDataCentres);
+  mDataCentres.AddConfigured({ aSettings.mDataCentre });
 }
 
 void
@@ -332,6 +358,62 @@
   });
 }
 
+DataCentreNames
+CoordinatorNode::KnownDataCentres() const
+{
+  DataCentreNames names = mDataCentres.All();
+  names.merge(mStateMachine.CurrentEvacuations().Evacuated());
+  return names;
+}
+
+void
+CoordinatorNode::SetEvacuated(const std::string& aDataCentre,
+                              bool aIsEvacuated,
+                              ControlService::Done aDone)
+{
+  const DataCentreNames known = KnownDataCentres();
+  const bool isKnown =
+    known.count(aDataCentre) != 0 ||
+    mStateMachine.CurrentEvacuations().IsMentioned(aDataCentre);
+  if (isKnown) {
+    mEvacuationRequests.Submit(aDataCentre, aIsEvacuated, std::move(aDone));
+    return;
+  }
+  mEvacuationRequests.OnUnknown(aDataCentre, aIsEvacuated);
+  std::string names;
+  for (const std::string& name : known) {
+    names += (names.empty() ? "" : ", ") + name;
+  }
+  aDone(Error(ErrorKind::NotFound,
+              "no data centre '" + aDataCentre + "' is known (known: " + names +
+                ")"));
+}
+
+void
+CoordinatorNode::ReadDataCentres(DataCentresDone aDone)
+{
+  mGroup->Barrier([this, done = std::move(aDone)](const Result<void>& aPassed) {
+    asio::post(mContext, [this, done, aPassed] {
+      if (!aPassed) {
+        done(aPassed.error());
+        return;
+      }
+      const Evacuations evacuations = mStateMachine.CurrentEvacuations();
+      std::vector<DataCentreStatus> list;
+      for (const std::string& name : KnownDataCentres()) {
+        list.push_back({ name, evacuations.IsEvacuated(name) });
+      }
+      done(list);
+    });
+  });
+}
+
+std::size_t
+CoordinatorNode::EvacuatedCount() const
+{
+  return mStateMachine.CurrentEvacuations().Evacuated().size();
+}
+
 std::uint64_t
 CoordinatorNode::ManifestVersion() const
 {
@@ -370,6 +452,7 @@
     mDirectory.Expire(now);
   }
   mStorageWatch.Observe(*mGroup);
+  mEvacuationRequests.Tick();
   UpdateLeadership();
   mReportExchange.Tick();
   mOrderRelay.Tick();
--- a/Source/Dispatch/CoordinatorNode.h
+++ b/Source/Dispatch/CoordinatorNode.h
@@ -14,7 +14,9 @@
 #include "Consensus/ConsensusChannel.h"
 #include "Consensus/ConsensusGroup.h"
 #include "Dispatch/Coordinator.h"
+#include "Dispatch/DataCentreDirectory.h"
 #include "Dispatch/DispatchStateMachine.h"
+#include "Dispatch/EvacuationRequests.h"
 #include "Dispatch/LeasedWorkerCalls.h"
 #include "Dispatch/LocalLeadership.h"
 #include "Dispatch/NodeSettings.h"
@@ -73,8 +75,8 @@
   /** Whether this instance has stopped leading. */
   bool IsDrained() const;
 
-  /** Adds coordinators to exchange reports with, for example after a change of
-   * settings. */
+  /** Adds coordinators to exchange reports with, and data centres, for example
+   * after a change of settings. */
   void AddSeeds(const NodeSettings& aSettings);
 
   void Report(const WorkerReport& aReport) override;
@@ -84,6 +86,10 @@
   void PutManifest(const Manifest& aManifest,
                    ControlService::Done aDone) override;
   void ReadManifest(ManifestDone aDone) override;
+  void SetEvacuated(const std::string& aDataCentre,
+                    bool aIsEvacuated,
+                    ControlService::Done aDone) override;
+  void ReadDataCentres(DataCentresDone aDone) override;
 
   void Reply(CallId aCall, const JobReply& aReply) override;
   void Store(const RecordBatch& aBatch, RecordSink::Done aDone) override;
@@ -105,11 +111,19 @@
   {
     return mReportExchange.Defects();
   }
+  const EvacuationCounters& EvacuationRequestCounters() const
+  {
+    return mEvacuationRequests.Counters();
+  }
+  /** Number of evacuated data centres as stored on this instance. */
+  std::size_t EvacuatedCount() const;
   /** Version of this instance's current manifest; zero if there is none yet. */
   std::uint64_t ManifestVersion() const;
 
 private:
   void RegisterMethods();
+  /** Returns the known data centres, with those in stored requests. */
+  DataCentreNames KnownDataCentres() const;
   void OnJobCall(const std::string& aRequest, PeerRpc::Done aDone);
   void OnCallerLeft(const std::string& aRequest, const PeerRpc::Done& aDone);
   void OnLeaderQuery(const InstanceName& aFrom,
@@ -141,6 +155,7 @@
   PeerRpc& mRpc;
   const InstanceName mSelf;
   WorkerDirectory mDirectory;
+  DataCentreDirectory mDataCentres;
   RelayDirectory mRelays;
   LeasedWorkerCalls mLeasedCalls;
   RelayedWorkerCalls mRelayedCalls;
@@ -148,6 +163,7 @@
   Coordinator mCoordinator;
   ReportExchange mReportExchange;
   DispatchStateMachine mStateMachine;
+  EvacuationRequests mEvacuationRequests;
   ConsensusChannel mChannel;
   std::unique_ptr<FileJournalStorage> mStorage;
   std::unique_ptr<ConsensusGroup> mGroup;
--- a/Source/Dispatch/DispatchMetrics.cxx
+++ b/Source/Dispatch/DispatchMetrics.cxx
@@ -102,6 +102,20 @@
     &GatewayCounters::mLeaderLost },
 } };
 
+constexpr std::array<CounterRow<EvacuationCounters>, 3> kEvacuationCounters = {
+  {
+    { "almondspoke_dispatch_evacuation_requests_stored_total",
+      "Requests to evacuate or readmit a data centre that were stored",
+      &EvacuationCounters::mStored },
+    { "almondspoke_dispatch_evacuation_requests_unknown_total",
+      "Such requests with the name of an unknown data centre",
+      &EvacuationCounters::mUnknown },
+    { "almondspoke_dispatch_evacuation_requests_not_stored_total",
+      "Such requests that were not known to be stored in time",
+      &EvacuationCounters::mNotStored },
+  }
+};
+
 MetricFamily
 FamilyOf(const char* aName, const char* aHelp, MetricType aType)
 {
@@ -265,9 +279,11 @@
           "1 if only the most urgent new work is taken, 2 if none is",
           static_cast<double>(coordinator.Load().State())));
   const WorkerSessions& workers = coordinator.Workers();
+  const DataCentreNames& evacuated = coordinator.Evacuated();
   const auto usable =
-    std::count_if(workers.begin(), workers.end(), [](const auto& aEntry) {
-      return aEntry.second.IsUsable();
+    std::count_if(workers.begin(), workers.end(), [&](const auto& aEntry) {
+      return aEntry.second.IsUsable() &&
+             evacuated.count(aEntry.second.Report().mDataCentre) == 0;
     });
   aFamilies.push_back(Gauge("almondspoke_dispatch_workers_usable",
                             "Workers on which the leader may start runs",
@@ -279,6 +295,12 @@
                             "Runs that are, or may be, on workers",
                             static_cast<double>(coordinator.AssignedRuns())));
   AddCounters(kCoordinatorCounters, coordinator.Counters(), aFamilies);
+  aFamilies.push_back(
+    Gauge("almondspoke_dispatch_data_centres_evacuated",
+          "Data centres in which nothing is started, as stored here",
+          static_cast<double>(mCoordinator->EvacuatedCount())));
+  AddCounters(
+    kEvacuationCounters, mCoordinator->EvacuationRequestCounters(), aFamilies);
   AddCounters(kRelayCounters, mCoordinator->OrderCounters(), aFamilies);
   aFamilies.push_back(
     Gauge("almondspoke_dispatch_relay_orders_open",
--- a/Source/Dispatch/Services.h
+++ b/Source/Dispatch/Services.h
@@ -2,6 +2,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "Base/Result.h"
 #include "Dispatch/JobMessages.h"
@@ -30,12 +32,21 @@
   virtual bool IsReady() const = 0;
 };
 
+/** \brief A data centre as operators see it. */
+struct DataCentreStatus
+{
+  std::string mName;
+  bool mIsEvacuated = false;
+};
+
 /** \brief Handles workers' reports and operators' requests. */
 class ControlService
 {
 public:
   using ManifestDone =
     std::function<void(Result<std::shared_ptr<const Manifest>>)>;
+  using DataCentresDone =
+    std::function<void(Result<std::vector<DataCentreStatus>>)>;
   using Done = std::function<void(Result<void>)>;
 
   virtual ~ControlService() = default;
@@ -54,6 +65,16 @@
   /** Reads the newest manifest. Errors: NoQuorum if this instance cannot tell
    * which one that is; NotFound if none has been stored yet. */
   virtual void ReadManifest(ManifestDone aDone) = 0;
+
+  /** Stores that nothing is started in a data centre, or that it is readmitted.
+   * Success means that the request is stored. Errors: NotFound, with the known
+   * data centres; NoQuorum, OutcomeUnknown, QueueFull. */
+  virtual void SetEvacuated(const std::string& aDataCentre,
+                            bool aIsEvacuated,
+                            Done aDone) = 0;
+  /** Reads the known data centres. Errors: NoQuorum if this instance cannot
+   * tell which ones are evacuated. */
+  virtual void ReadDataCentres(DataCentresDone aDone) = 0;
 };
 
 }
