Tool: Evacuates, readmits and lists data centres

almondspoke data-centres evacuate|readmit|list send the product's own requests to the control address of a coordinator. What submit and jobs use to send a request and to encode a path moves to HttpCalls.

--- a/Source/Tool/Command.h
+++ b/Source/Tool/Command.h
@@ -49,6 +49,14 @@
 Result<void>
 RunVotersRemove(ToolContext& aContext, CommandLine& aLine);
 
+// Data centres
+Result<void>
+RunDataCentresEvacuate(ToolContext& aContext, CommandLine& aLine);
+Result<void>
+RunDataCentresReadmit(ToolContext& aContext, CommandLine& aLine);
+Result<void>
+RunDataCentresList(ToolContext& aContext, CommandLine& aLine);
+
 // Requests and jobs
 Result<void>
 RunCall(ToolContext& aContext, CommandLine& aLine);
--- a/Source/Tool/WorkCommands.cxx
+++ b/Source/Tool/WorkCommands.cxx
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Tool/Command.h"
+#include "Tool/HttpCalls.h"
 #include "Tool/Output.h"
 
 namespace almondspoke::tool {
@@ -18,7 +19,6 @@
 constexpr const char* kKeyPrefix = "keyPrefix";
 
 constexpr int kHttpAccepted = 202;
-constexpr int kHttpFirstError = 300;
 
 /** Longest time that the instance may hold one request for the job open. */
 constexpr milliseconds kPollWait = std::chrono::seconds(5);
@@ -28,51 +28,6 @@
 
 constexpr std::uint64_t kDefaultJobWaitMs = 300000;
 
-/** Returns the error in a response, or a generic one with the HTTP status. */
-Error
-ErrorFromResponse(const std::string& aUrl, const HttpResponse& aResponse)
-{
-  return ErrorFromJson(aResponse.mBody)
-    .value_or(
-      Error(ErrorKind::EndpointFailed,
-            aUrl + ": HTTP status " + std::to_string(aResponse.mStatus)));
-}
-
-Result<HttpResponse>
-SendOrFail(ToolContext& aContext, const HttpRequest& aRequest)
-{
-  BOOST_OUTCOME_TRY(response, aContext.mHttp.Send(aRequest));
-  if (response.mStatus >= kHttpFirstError) {
-    return ErrorFromResponse(aRequest.mUrl, response);
-  }
-  return response;
-}
-
-// Percent-encodes text as one segment of a URL path.
-std::string
-EncodeSegment(const std::string& aText)
-{
-  constexpr const char* kUnescaped =
-    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrs"
-    "tuvwxyz0123456789-._~:";
-  constexpr const char* kHexDigits = "0123456789ABCDEF";
-  constexpr unsigned kBitsPerHexDigit = 4;
-  constexpr unsigned kHexDigitMask = 15;
-  const std::string unescaped = kUnescaped;
-  std::string encoded;
-  for (const char character : aText) {
-    const auto code = static_cast<unsigned char>(character);
-    if (unescaped.find(character) != std::string::npos) {
-      encoded += character;
-    } else {
-      encoded += '%';
-      encoded += kHexDigits[code >> kBitsPerHexDigit];
-      encoded += kHexDigits[code & kHexDigitMask];
-    }
-  }
-  return encoded;
-}
-
 void
 AddField(const CommandLine& aLine,
          const std::string& aOption,
--- a/Utilities/completion/almondspoke.bash
+++ b/Utilities/completion/almondspoke.bash
@@ -17,6 +17,9 @@
     "voters show"
     "voters add"
     "voters remove"
+    "data-centres evacuate"
+    "data-centres readmit"
+    "data-centres list"
     "endpoints list"
     "instances list"
     "status"
@@ -41,6 +44,9 @@
     "rules diff"*|"rules show"*) options+=" --version" ;;
     "rules explain"*) options+=" --file --version" ;;
     "rules history"*) options+=" --limit" ;;
+    "data-centres evacuate"
+    "data-centres readmit"
+    "data-centres list"
     "endpoints list"*) options+=" --service" ;;
     bench*) options+=" --targets --seed --start-log --svg --markdown" ;;
     submit*) options+=" --key --wait-ms" ;;
