--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -104,18 +104,42 @@
                  *this,
                  *this,
                  aParts.mLog)
-  , mReportExchange(
+  , mReportExchange(aParts.mClock,
+                    aParts.mRpc,
+                    aParts.mLog,
+                    mDirectory,
+                    mSelf,
+                    [this](const WorkerReport& aReport) {
+                      mDataCentres.OnReported(aReport.mDataCentre,
+                                              mClock.MonotonicNow());
+                      mCoordinator.OnReport(aReport);
+                    })
+  , mStateMachine(
+      [this](std::shared_ptr<const Manifest> aManifest) {
+        asio::post(mContext, [this, manifest = std::move(aManifest)] {
+          mCoordinator.SetManifest(manifest);
+        });
+      },
+      [this] {
+        // The state is read when the notification is handled, since a new
+        // leader may have begun with a later one by then.
+        asio::post(mContext, [this] {
+          mCoordinator.SetEvacuated(
+            mStateMachine.CurrentEvacuations().Evacuated());
+        });
+      })
+  , mEvacuationRequests(
       aParts.mClock,
-      aParts.mRpc,
       aParts.mLog,
-      mDirectory,
-      mSelf,
-      [this](const WorkerReport& aReport) { mCoordinator.OnReport(aReport); })
-  , mStateMachine([this](std::shared_ptr<const Manifest> aManifest) {
-    asio::post(mContext, [this, manifest = std::move(aManifest)] {
-      mCoordinator.SetManifest(manifest);
-    });
-  })
+      [this](std::string aCommand, EvacuationRequests::ProposalDone aDone) {
+        mGroup->Propose(
+          std::move(aCommand),
+          [this, done = std::move(aDone)](Result<std::string> aResult) {
+            asio::post(mContext,
+                       [done, result = std::move(aResult)] { done(result); });
+          });
+      },
+      [this] { return mStateMachine.CurrentEvacuations().Revision(); })
   , mChannel(aParts.mTransport)
   , mStorageWatch(aParts.mLog)
   , mTimer(aParts.mContext)
@@ -168,6 +192,8 @@
   for (const InstanceName& seed : SeedNamesOf(aSettings)) {
     mContacts.AddSeed(seed);
   }
+  mDataCentres.AddConfigured(aSettings.mDataCentres);
+  mDataCentres.AddConfigured({ aSettings.mDataCentre });
 }
 
 void
@@ -268,78 +294,6 @@
   done(PackMessage(reply));
 }
 
-void
-CoordinatorNode::Report(const WorkerReport& aReport)
-{
-  mReportExchange.OnReport(aReport);
-}
-
-void
-CoordinatorNode::OnUnreadableReport(const WorkerId& aId,
-                                    const std::string& aReason)
-{
-  mReportExchange.OnUnreadableReport(aId, aReason);
-}
-
-void
-CoordinatorNode::OnWorkerLeft(const WorkerId& aId)
-{
-  mReportExchange.OnWorkerLeft(aId);
-}
-
-void
-CoordinatorNode::PutManifest(const Manifest& aManifest,
-                             ControlService::Done aDone)
-{
-  EventLine(mLog, "manifest-received")
-    .With("version", aManifest.mVersion)
-    .With("queues", std::uint64_t{ aManifest.mQueues.size() });
-  mGroup->Propose(
-    DispatchStateMachine::CommandOf(aManifest),
-    [this, version = aManifest.mVersion, done = std::move(aDone)](
-      Result<std::string> aResult) {
-      asio::post(mContext, [this, version, done, result = std::move(aResult)] {
-        EventLine(mLog, "manifest-answered")
-          .With("version", version)
-          .With("stored", result.has_value())
-          .With("reason", result ? "" : result.error().Message());
-        if (result) {
-          done(Success());
-          return;
-        }
-        done(result.error());
-      });
-    });
-}
-
-void
-CoordinatorNode::ReadManifest(ManifestDone aDone)
-{
-  mGroup->Barrier([this, done = std::move(aDone)](const Result<void>& aPassed) {
-    asio::post(mContext, [this, done, aPassed] {
-      if (!aPassed) {
-        done(aPassed.error());
-        return;
-      }
-      const std::shared_ptr<const Manifest> manifest =
-        mStateMachine.CurrentManifest();
-      if (!manifest) {
-        done(Error(ErrorKind::NotFound, "no manifest has been stored yet"));
-        return;
-      }
-      done(manifest);
-    });
-  });
-}
-
-std::uint64_t
-CoordinatorNode::ManifestVersion() const
-{
-  const std::shared_ptr<const Manifest> manifest =
-    mStateMachine.CurrentManifest();
-  return manifest ? manifest->mVersion : 0;
-}
-
 void
 CoordinatorNode::ScheduleTick()
 {
@@ -370,6 +324,7 @@
     mDirectory.Expire(now);
   }
   mStorageWatch.Observe(*mGroup);
+  mEvacuationRequests.Tick();
   UpdateLeadership();
   mReportExchange.Tick();
   mOrderRelay.Tick();
