Dispatch: Tries a worker on probation beside the runs that it had before

The run that is started during the probation is now recorded as the trial; runs from before do not count.

--- a/Source/Dispatch/WorkerHealth.cxx
+++ b/Source/Dispatch/WorkerHealth.cxx
@@ -17,6 +17,7 @@
 {
   mConsecutiveFailures = 0;
   mQuarantinedUntil = {};
+  mTrial.reset();
 }
 
 void
--- a/Source/Dispatch/WorkerHealth.h
+++ b/Source/Dispatch/WorkerHealth.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 
 #include "Base/Clock.h"
+#include "Dispatch/JobSubmission.h"
 
 namespace almondspoke::dispatch {
 
@@ -25,17 +27,24 @@
   bool IsQuarantined(TimePoint aNow) const { return aNow < mQuarantinedUntil; }
   /** End of the quarantine; in the past if there is none. */
   TimePoint QuarantinedUntil() const { return mQuarantinedUntil; }
-  /** True while the worker may have at most one run, as a trial. */
+  /** True while the worker may get one run at a time, as a trial. Runs that it
+   * had before do not count. */
   bool IsOnProbation() const
   {
     return mConsecutiveFailures >= kFailuresToQuarantine;
   }
 
+  /** Records that a run was started during the probation. */
+  void BeginTrial(const TaskId& aTask) { mTrial = aTask; }
+  /** Task of the latest run that was started during the probation. */
+  const std::optional<TaskId>& Trial() const { return mTrial; }
+
 private:
   static constexpr unsigned kFailuresToQuarantine = 2;
 
   unsigned mConsecutiveFailures = 0;
   TimePoint mQuarantinedUntil{};
+  std::optional<TaskId> mTrial;
 };
 
 }
--- a/Source/Dispatch/WorkerIndex.cxx
+++ b/Source/Dispatch/WorkerIndex.cxx
@@ -158,7 +158,7 @@
       aWorker.mHealth.IsQuarantined(aNow)) {
     return false;
   }
-  return !aWorker.mHealth.IsOnProbation() || aWorker.Runs().empty();
+  return !aWorker.mHealth.IsOnProbation() || !aWorker.HasTrialRun();
 }
 
 void
--- a/Source/Dispatch/WorkerSession.cxx
+++ b/Source/Dispatch/WorkerSession.cxx
@@ -82,6 +82,9 @@
 {
   mUsed += aRun.mNeeds;
   mOrphanCount += aRun.mIsOrphan ? 1 : 0;
+  if (mHealth.IsOnProbation() && !aRun.mIsOrphan) {
+    mHealth.BeginTrial(aTask);
+  }
   TrackedRun& added = mRuns[aTask] = aRun;
   NotifyRoomChanged();
   return added;
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -163,6 +163,12 @@
            mUnansweredHolds == 0 && !mReport.mDraining && !mReport.mHasLeft;
   }
 
+  /** Returns whether the worker has a run that was started on probation. */
+  bool HasTrialRun() const
+  {
+    return mHealth.Trial() && mRuns.count(*mHealth.Trial()) != 0;
+  }
+
   /** Records that another leader may control the worker, or that its clock or
    * run list is not known: its lists must be read again under the current
    * fence before it is used. */
--- a/Tests/Dispatch/WorkerIndexTest.cxx
+++ b/Tests/Dispatch/WorkerIndexTest.cxx
@@ -187,6 +187,60 @@
   }
 }
 
+// Guards against a worker on probation that gets nothing while a long run from
+// before the probation is on it (review/9).
+TEST_CASE("Worker index: a worker on probation gets one run beside those that "
+          "it had before")
+{
+  WorkerReport report;
+  report.mBoot = { "w0", 1 };
+  report.mPool = "pool";
+  report.mCapacity = { 16'000, 16'000, 0 };
+  const Clock::Monotonic start{ std::chrono::hours(1) };
+  WorkerSession worker(1, report, start, milliseconds(1000));
+  worker.mRegistered = true;
+  worker.mFenceAccepted = true;
+  WorkerIndex index;
+  index.Add(worker);
+  DispatchJob job;
+  job.mQueue.mPool = "pool";
+  StepSpec step;
+  step.mCount = 2;
+  step.mNeeds = { 1000, 100, 0 };
+  job.mSubmission.mId = "job";
+  job.mSubmission.mSteps.push_back(step);
+  job.mSteps.emplace_back(2);
+  StartWindows windows;
+  const auto canPlace = [&](const TaskId& aTask) {
+    const auto afterQuarantine = start + std::chrono::minutes(1);
+    index.ReadmitAll(afterQuarantine);
+    return index.Choose(job, aTask, afterQuarantine, windows) == &worker;
+  };
+  TrackedRun run;
+  run.mNeeds = step.mNeeds;
+  worker.Add({ "long", 0, 0, 0 }, run);
+  worker.mHealth.RunFailed(start);
+  worker.mHealth.RunFailed(start);
+  REQUIRE(worker.mHealth.IsOnProbation());
+  const TaskId trial{ "job", 0, 0, 0 };
+  const TaskId next{ "job", 0, 0, 1 };
+  CHECK(canPlace(trial));
+  worker.Add(trial, run);
+  CHECK_FALSE(canPlace(next));
+  SECTION("the trial run has ended")
+  {
+    worker.Remove(trial);
+    CHECK(canPlace(next));
+  }
+  SECTION("a run of a later probation is tried beside the former trial")
+  {
+    worker.mHealth.RunSucceeded();
+    worker.mHealth.RunFailed(start);
+    worker.mHealth.RunFailed(start);
+    CHECK(canPlace(next));
+  }
+}
+
 TEST_CASE("Worker index: a worker that drains is not chosen without a notice")
 {
   WorkerIndex index;
--- a/Tests/Support/PlacementWalk.h
+++ b/Tests/Support/PlacementWalk.h
@@ -94,7 +94,7 @@
     if (aWorker.mHealth.IsQuarantined(aNow)) {
       return false;
     }
-    return !aWorker.mHealth.IsOnProbation() || aWorker.Runs().empty();
+    return !aWorker.mHealth.IsOnProbation() || !aWorker.HasTrialRun();
   }
 
 private:
