--- a/Source/Dispatch/DispatchState.cxx
+++ b/Source/Dispatch/DispatchState.cxx
@@ -16,8 +16,9 @@
   Manifest mManifest;
   std::vector<WorkerReport> mWorkers;
   std::vector<StoredJob> mJobs;
+  std::map<JobId, std::int64_t> mCancelledBestEffort;
 
-  MSGPACK_DEFINE(mFence, mManifest, mWorkers, mJobs)
+  MSGPACK_DEFINE(mFence, mManifest, mWorkers, mJobs, mCancelledBestEffort)
 };
 
 bool
@@ -137,6 +138,10 @@
   }
   for (const JobId& id : aBatch.mRemovedJobs) {
     aState.mJobs.erase(id);
+    aState.mCancelledBestEffort.erase(id);
+  }
+  for (const JobId& id : aBatch.mCancelledBestEffort) {
+    aState.mCancelledBestEffort.emplace(id, aBatch.mTimeMs);
   }
   return true;
 }
@@ -155,6 +160,7 @@
   for (const auto& [id, job] : aState.mJobs) {
     packed.mJobs.push_back(job);
   }
+  packed.mCancelledBestEffort = aState.mCancelledBestEffort;
   return PackMessage(packed);
 }
 
@@ -176,6 +182,7 @@
     const JobId id = job.mSubmission.mId;
     state.mJobs.emplace(id, std::move(job));
   }
+  state.mCancelledBestEffort = std::move(packed.mCancelledBestEffort);
   return state;
 }
 
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -52,6 +52,9 @@
   /** Workers that may have runs started by a leader. */
   std::map<WorkerId, WorkerReport> mWorkers;
   std::map<JobId, StoredJob> mJobs;
+  /** Best-effort jobs that were cancelled, with the time in milliseconds since
+   * the Unix epoch. A repeated submission must not start them again. */
+  std::map<JobId, std::int64_t> mCancelledBestEffort;
 };
 
 /** \brief End of a run of a stored job. */
@@ -87,13 +90,15 @@
   std::vector<AcceptRecord> mAccepted;
   std::vector<EndRecord> mEnds;
   std::vector<JobId> mCancelled;
+  /** Jobs that are removed, stored ones and cancelled best-effort ones. */
   std::vector<JobId> mRemovedJobs;
+  std::vector<JobId> mCancelledBestEffort;
 
   bool IsEmpty() const
   {
     return mRegistered.empty() && mRemovedWorkers.empty() &&
            mAccepted.empty() && mEnds.empty() && mCancelled.empty() &&
-           mRemovedJobs.empty();
+           mRemovedJobs.empty() && mCancelledBestEffort.empty();
   }
 
   MSGPACK_DEFINE(mFence,
@@ -103,7 +108,8 @@
                  mAccepted,
                  mEnds,
                  mCancelled,
-                 mRemovedJobs)
+                 mRemovedJobs,
+                 mCancelledBestEffort)
 };
 
 /** \name Deterministic operations on the state, equal on every replica. */
--- a/Tests/Dispatch/StateTest.cxx
+++ b/Tests/Dispatch/StateTest.cxx
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "Base/MessagePack.h"
 #include "Dispatch/DispatchState.h"
 #include "Dispatch/DispatchStateMachine.h"
 #include "Dispatch/WorkerDirectory.h"
@@ -93,6 +94,78 @@
   CHECK(other.CurrentState().mWorkers.at("w").mBoot.mStartTimeMs == 5);
 }
 
+namespace {
+
+/** \brief Snapshot as written before cancelled best-effort jobs were stored. */
+struct FormerState
+{
+  Fence mFence = 6;
+  Manifest mManifest = MakeManifest(4);
+  std::vector<WorkerReport> mWorkers{ MakeReport(5, 1) };
+  std::vector<StoredJob> mJobs;
+
+  MSGPACK_DEFINE(mFence, mManifest, mWorkers, mJobs)
+};
+
+/** \brief Batch as written before cancelled best-effort jobs were stored. */
+struct FormerBatch
+{
+  Fence mFence = 7;
+  std::int64_t mTimeMs = 0;
+  std::vector<WorkerReport> mRegistered;
+  std::vector<WorkerBoot> mRemovedWorkers;
+  std::vector<AcceptRecord> mAccepted{ MakeAcceptRecord("j", 1) };
+  std::vector<EndRecord> mEnds;
+  std::vector<JobId> mCancelled;
+  std::vector<JobId> mRemovedJobs;
+
+  MSGPACK_DEFINE(mFence,
+                 mTimeMs,
+                 mRegistered,
+                 mRemovedWorkers,
+                 mAccepted,
+                 mEnds,
+                 mCancelled,
+                 mRemovedJobs)
+};
+
+}
+
+// Guards against an upgrade that loses the state of the former version.
+TEST_CASE("Dispatch state: snapshots and batches of the former version are "
+          "read")
+{
+  DispatchStateMachine machine([](const auto&) {});
+  REQUIRE(machine.RestoreSnapshot(PackMessage(FormerState())));
+  CHECK(machine.CurrentState().mFence == 6);
+  CHECK(machine.CurrentState().mWorkers.count("w") == 1);
+  CHECK(DispatchStateMachine::WasApplied(
+    machine.Apply(1, "B" + PackMessage(FormerBatch()))));
+  CHECK(machine.CurrentState().mJobs.count("j") == 1);
+  CHECK(machine.CurrentState().mCancelledBestEffort.empty());
+}
+
+TEST_CASE("Dispatch state: a cancelled best-effort job is kept until it is "
+          "removed")
+{
+  DispatchState state;
+  RecordBatch batch;
+  batch.mTimeMs = 100;
+  batch.mCancelledBestEffort.push_back("j");
+  ApplyBatch(state, batch);
+  RecordBatch repeated = batch;
+  repeated.mTimeMs = 200;
+  ApplyBatch(state, repeated);
+  const auto restored = UnpackState(PackState(state));
+  REQUIRE(restored);
+  CHECK(restored.value().mCancelledBestEffort ==
+        std::map<JobId, std::int64_t>{ { "j", 100 } });
+  RecordBatch removal;
+  removal.mRemovedJobs.push_back("j");
+  ApplyBatch(state, removal);
+  CHECK(state.mCancelledBestEffort.empty());
+}
+
 TEST_CASE("Dispatch state: batches of a former leader have no effect")
 {
   DispatchState state;
