Dispatch: Declares runs over in one class, on typed evidence

Five faults had one cause: code in several places decided whether a run may still exist, on evidence that could be out of date.

RunLedger is now the only class that removes a run from a session. It weighs five kinds of evidence and knows which lists were requested before a run was found over. Coordinator asks it and acts on the outcome:

- The cancellation of a best-effort job is stored before it is confirmed.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -104,6 +104,9 @@
     for (const auto& [id, job] : aState.mJobs) {
       LoadStoredJob(job);
     }
+    for (const auto& [id, cancelledMs] : aState.mCancelledBestEffort) {
+      LoadCancelledJob(id, cancelledMs);
+    }
   }
   for (const auto& [id, worker] : aState.mWorkers) {
     LoadStoredWorker(worker);
@@ -133,6 +136,7 @@
   mFirstUnread.clear();
   mFencedOut = false;
   mScope = {};
+  mLedger.Clear();
   mIndex.Clear();
   mTimers.Clear();
   mFlow.Clear();
@@ -252,7 +256,7 @@
     return;
   }
   aJob.mWaitingCalls.insert(aCall);
-  if (aJob.mAbandoned) {
+  if (aJob.mAbandoned && !aJob.mCancelRequested) {
     aJob.mAbandoned = false;
     mReady.Update(aJob);
     Schedule();
@@ -310,7 +314,7 @@
       MarkStepReady(job, step);
     }
   }
-  ClaimOrphans(job);
+  AdoptRuns(job);
   if (!job.HasEnded()) {
     Schedule();
   }
@@ -372,13 +376,9 @@
   EventLine(mLog, "job-cancelled")
     .With("job", job->mSubmission.mId)
     .With("state", NameOf(job->mState));
-  if (job->mIsStored && !job->HasEnded()) {
-    CancelStored(*job, aCall);
-    return;
-  }
   if (!job->HasEnded()) {
-    StopRunsOf(*job);
-    EndJob(*job, JobState::Cancelled);
+    StoreCancel(*job, aCall);
+    return;
   }
   JobReply reply;
   reply.mKind = JobReplyKind::State;
@@ -387,12 +387,13 @@
 }
 
 void
-Coordinator::CancelStored(DispatchJob& aJob, CallId aCall)
+Coordinator::StoreCancel(DispatchJob& aJob, CallId aCall)
 {
   const JobId id = aJob.mSubmission.mId;
+  aJob.mCancelRequested = true;
   AbandonWaitingTasks(aJob);
   StopRunsOf(aJob);
-  PendingBatch([this, id, aCall](bool) {
+  RecordBatch& batch = PendingBatch([this, id, aCall](bool) {
     DispatchJob* job = FindJob(id);
     if (job == nullptr) {
       return;
@@ -405,7 +406,9 @@
     reply.mKind = JobReplyKind::State;
     reply.mState = job->mState;
     mReplies.Reply(aCall, reply);
-  }).mCancelled.push_back(id);
+  });
+  (aJob.mIsStored ? batch.mCancelled : batch.mCancelledBestEffort)
+    .push_back(id);
 }
 
 void
@@ -428,7 +431,7 @@
 {
   mPendingCounts.clear();
   for (const auto& [id, job] : mJobs) {
-    if (!job->mStarted && !job->HasEnded()) {
+    if (!job->mHasBegun && !job->HasEnded()) {
       ++mPendingCounts[job->mQueue.mName];
     }
   }
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -25,6 +25,7 @@
 #include "Dispatch/OrderTimeoutEstimator.h"
 #include "Dispatch/OverloadDetector.h"
 #include "Dispatch/ReadyQueue.h"
+#include "Dispatch/RunLedger.h"
 #include "Dispatch/StartWindow.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Dispatch/WorkerIndex.h"
@@ -193,6 +194,7 @@
   const OverloadDetector& Load() const { return mLoad; }
 
   const CoordinatorCounters& Counters() const { return mCounters; }
+  const RunLedgerCounters& LedgerCounters() const { return mLedger.Counters(); }
   const CoordinatorLatencies& Latencies() const { return mLatencies; }
   const WorkerSessions& Workers() const { return mWorkers; }
   std::size_t OpenJobs() const;
@@ -226,7 +228,8 @@
   JobPtr MakeJob(const JobSubmission& aSubmission, const Queue& aQueue) const;
   void Accept(JobPtr aJob, CallId aCall);
   void OnAcceptStored(const JobId& aId);
-  void CancelStored(DispatchJob& aJob, CallId aCall);
+  /** Stores the cancellation of a job and then replies. */
+  void StoreCancel(DispatchJob& aJob, CallId aCall);
   bool IsRefusedForOverload(const DispatchJob& aJob) const;
   /** Refuses a job that was not accepted. */
   void RefuseNew(CallId aCall,
@@ -248,19 +251,33 @@
   /** Returns whether only an elected leader may serve a call. If so, the call
    * has been answered with the reason. */
   bool DefersToElectedLeader(CallId aCall, const JobCall& aRequest);
-  bool HasOrphansOf(const JobId& aJob) const;
 
   // Jobs and tasks (CoordinatorJobs.cxx).
   DispatchJob* FindJob(const JobId& aId);
   void MarkStepReady(DispatchJob& aJob, std::uint32_t aStep);
-  void RequeueTask(DispatchJob& aJob, DispatchTask& aTask);
+  void RequeueTask(DispatchJob& aJob, const TaskId& aTask);
   void ReleaseTask(DispatchJob& aJob, DispatchTask& aTask, TaskPhase aNext);
   void FinishTask(DispatchJob& aJob, const TaskId& aTask);
-  void FailTask(DispatchJob& aJob, const TaskId& aTask);
+  /** Counts a failed run against the limit of the job's queue. */
+  void CountFailedRun(DispatchJob& aJob, const TaskId& aTask);
+  /** Returns whether a job that is not stored will end as cancelled. The order
+   * in which a stored job's records are applied decides how it ends. */
+  static bool IsCancelDecided(const DispatchJob& aJob);
   void EndJob(DispatchJob& aJob, JobState aState);
   void AbandonWaitingTasks(DispatchJob& aJob);
   void StopRunsOf(const DispatchJob& aJob);
-  void ClaimOrphans(DispatchJob& aJob);
+  /** Applies what is known of a new job's tasks from earlier leaders: their
+   * runs and their ends. */
+  void AdoptRuns(DispatchJob& aJob);
+  /** Makes a run of another leader the current one of a task that is ready.
+   * Until such a run is over, the task must not be started again. */
+  void ClaimFoundRun(DispatchJob& aJob, const TaskId& aTask);
+  /** Returns a run of another leader, or null if it is not tracked. */
+  TrackedRun* FoundRun(const TaskId& aTask, const WorkerId& aWorker);
+  void StopFoundRun(const TaskId& aTask, const WorkerId& aWorker);
+  void StopFoundRunsOf(const JobId& aJob);
+  /** Records that a run of a job is known to have begun. */
+  static void MarkBegun(DispatchJob& aJob);
   /** Returns whether a step of a job needs more than any worker has. */
   bool IsTooLarge(const DispatchJob& aJob) const;
   /** Classifies the jobs again if the largest workers have changed. */
@@ -298,9 +315,11 @@
   void OnStopped(const WorkerBoot& aBoot,
                  const RunId& aRun,
                  const OrderResult& aResult);
-  /** Takes the task by value, since callers often pass the key of the entry
-   * that is removed. */
-  void MarkRunLost(WorkerSession& aWorker, TaskId aTask, const char* aReason);
+  /** Repeats the task of a run if evidence shows that the run is over. */
+  void MarkRunLost(WorkerSession& aWorker,
+                   const RunId& aRun,
+                   const RunEvidence& aEvidence,
+                   const char* aReason);
   void OnFenced(WorkerSession& aWorker);
   void RetryStops(WorkerSession& aWorker);
   void StopStragglers(WorkerSession& aWorker, TimePoint aNow);
@@ -324,8 +343,13 @@
   void StoreEnd(WorkerSession& aWorker,
                 DispatchJob& aJob,
                 const EndedRun& aEnd);
-  void OnEndStored(const WorkerBoot& aBoot, const EndedRun& aEnd);
+  /** Lets a task wait for a record of an end, if it has no other run. */
+  void AwaitEndRecord(DispatchJob& aJob, const TaskId& aTask, bool aIsDone);
+  /** \param aIsNew false if the end was processed before */
+  void OnEndStored(const WorkerBoot& aBoot, const EndedRun& aEnd, bool aIsNew);
   void LoadStoredJob(const StoredJob& aStored);
+  /** Loads a best-effort job that was cancelled under an earlier leader. */
+  void LoadCancelledJob(const JobId& aId, std::int64_t aCancelledMs);
   void RecordRemoval(const DispatchJob& aJob);
 
   // Leases and run lists (CoordinatorHolds.cxx).
@@ -349,7 +373,10 @@
   void BeginSessionOfLaterBoot(WorkerSession& aFormer,
                                const WorkerReport& aReport,
                                bool aHasReported);
-  void MarkAllRunsLost(WorkerSession& aWorker, const char* aReason);
+  void MarkRunsLost(WorkerSession& aWorker,
+                    const RunEvidence& aEvidence,
+                    const std::vector<ActiveRun>& aListed,
+                    const char* aReason);
   void RemoveSession(WorkerSession& aWorker);
   /** Processes a report of a later boot than the one of the session. */
   void OnRestarted(WorkerSession& aWorker, const WorkerReport& aReport);
@@ -370,11 +397,10 @@
   void OnUnanswered(WorkerSession& aWorker);
   void ProcessEnds(WorkerSession& aWorker, const std::vector<EndedRun>& aEnds);
   void ProcessEnd(WorkerSession& aWorker, const EndedRun& aEnd);
-  void ProcessRunning(WorkerSession& aWorker, const HoldResult& aLists);
-  void AddOrphan(WorkerSession& aWorker, const ActiveRun& aRun);
-  void RemoveUnlistedRuns(WorkerSession& aWorker,
-                          std::uint64_t aHold,
-                          const std::vector<ActiveRun>& aRunning);
+  void ProcessRunning(WorkerSession& aWorker,
+                      std::uint64_t aHold,
+                      const HoldResult& aLists);
+  void OnRunFound(WorkerSession& aWorker, const ActiveRun& aRun);
   void RemoveRunsIfLeaseExpired(WorkerSession& aWorker, TimePoint aNow);
   void StopUnclaimedOrphans(TimePoint aNow);
   /** Returns whether the run lists of all registered workers, and of at least
@@ -412,6 +438,7 @@
   TimePoint mLeadingSince{};
   std::shared_ptr<const Manifest> mManifest;
   WorkerSessions mWorkers;
+  RunLedger mLedger;
   WorkerIndex mIndex;
   StartWindows mWindows;
   WorkerTimers mTimers;
--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -93,6 +93,7 @@
     aWorker.mHoldInFlight = true;
   }
   const std::uint64_t number = ++aWorker.mHoldsSent;
+  aWorker.mLists.OnSent(number);
   ++mCounters.mHolds;
   mCalls.Hold(
     order,
@@ -101,13 +102,17 @@
     [this,
      fence = mFence,
      boot = order.mTarget.mBoot,
+     session = aWorker.mPosition.mNumber,
      number,
      aUrgent,
      acknowledged = order.mAcknowledgedEnds](const HoldResult& aResult) {
       if (!mLeading || fence != mFence) {
         return;
       }
-      if (WorkerSession* worker = SessionOf(boot)) {
+      // A later session of the same boot counts its orders anew.
+      WorkerSession* worker = SessionOf(boot);
+      if (worker != nullptr && worker->mPosition.mNumber == session) {
+        worker->mLists.OnEnded(number);
         if (aResult.mOutcome == OrderOutcome::Done) {
           worker->mLastAcknowledgedEnd =
             std::max(worker->mLastAcknowledgedEnd, acknowledged);
@@ -164,9 +169,14 @@
     worker.mAreListsRead || (isUnderFence && aResult.mIsEndListComplete);
   RegisterWorker(worker);
   ProcessEnds(worker, aResult.mEnded);
-  ProcessRunning(worker, aResult);
-  if (aResult.mIsRunningListComplete && aResult.mIsEndListComplete) {
-    RemoveUnlistedRuns(worker, aHold, aResult.mRunning);
+  ProcessRunning(worker, aHold, aResult);
+  const bool isComplete =
+    aResult.mIsRunningListComplete && aResult.mIsEndListComplete;
+  if (isComplete) {
+    MarkRunsLost(worker,
+                 RunEvidence::NotListed(aHold, isComplete),
+                 aResult.mRunning,
+                 "missing from the worker's run list");
   }
   const TimePoint now = mClock.MonotonicNow();
   StopStragglers(worker, now);
@@ -235,13 +245,11 @@
 Coordinator::ProcessEnd(WorkerSession& aWorker, const EndedRun& aEnd)
 {
   const TaskId& id = aEnd.mRun.mTask;
-  const TrackedRun* run = aWorker.Find(id);
-  const bool isTracked = run != nullptr && run->mNumber == aEnd.mRun.mNumber;
+  const std::optional<TrackedRun> run =
+    mLedger.Conclude(aWorker, aEnd.mRun, RunEvidence::EndListed());
+  const bool isTracked = run.has_value();
   const bool wasStopping = isTracked && run->mPhase == RunPhase::Stopping;
   const TimePoint startedAt = isTracked ? run->mLastOrderAt : TimePoint{};
-  if (isTracked) {
-    aWorker.Remove(id);
-  }
   EventLine(mLog, "run-end")
     .With("job", id.mJob)
     .With("step", id.mStep)
@@ -274,8 +282,7 @@
     task->mCheckpoint = aEnd.mCheckpoint;
   }
   const bool mustBeStored =
-    aEnd.mEnd == RunEnd::Done ||
-    (aEnd.mEnd == RunEnd::Failed && isTracked && !wasStopping);
+    aEnd.mEnd == RunEnd::Done || aEnd.mEnd == RunEnd::Failed;
   if (job->mIsStored && mustBeStored && !job->HasEnded()) {
     StoreEnd(aWorker, *job, aEnd);
     return;
@@ -303,70 +310,54 @@
   if (!isCurrentRun) {
     return;
   }
+  RequeueTask(*job, id);
   if (aEnd.mEnd == RunEnd::Failed && !wasStopping) {
-    FailTask(*job, id);
-    return;
+    CountFailedRun(*job, id);
   }
-  RequeueTask(*job, *task);
 }
 
 void
-Coordinator::ProcessRunning(WorkerSession& aWorker, const HoldResult& aLists)
+Coordinator::ProcessRunning(WorkerSession& aWorker,
+                            std::uint64_t aHold,
+                            const HoldResult& aLists)
 {
   const TimePoint now = mClock.MonotonicNow();
   for (const ActiveRun& listed : aLists.mRunning) {
-    TrackedRun* run = aWorker.Find(listed.mRun.mTask);
-    if (run == nullptr || run->mNumber != listed.mRun.mNumber) {
-      AddOrphan(aWorker, listed);
-      continue;
+    const ListEntry entry =
+      mLedger.OnListed(aWorker, listed, aHold, aLists.mClock, now);
+    if (entry == ListEntry::Begun) {
+      if (DispatchJob* job = FindJob(listed.mRun.mTask.mJob)) {
+        MarkBegun(*job);
+      }
     }
-    const bool wasInDoubt =
-      run->mPhase == RunPhase::Starting ||
-      (run->mIsInherited && run->mPhase == RunPhase::Unconfirmed);
-    if (wasInDoubt) {
-      run->mPhase = RunPhase::Running;
-      // Another answer may have been made before the run began, and be late.
-      run->mIgnoreHoldsUpTo = aWorker.mHoldsSent;
+    if (entry == ListEntry::Found) {
+      OnRunFound(aWorker, listed);
+    }
+    if (entry == ListEntry::OutOfDate) {
+      EventLine(mLog, "run-listed-late")
+        .With("job", listed.mRun.mTask.mJob)
+        .With("step", listed.mRun.mTask.mStep)
+        .With("task", listed.mRun.mTask.mIndex)
+        .With("run", listed.mRun.mNumber)
+        .With("worker", aWorker.Report().mBoot.mId)
+        .With("list", aHold)
+        .With("lists_sent", aWorker.mHoldsSent);
     }
-    run->mIsLocated = true;
-    run->Confirm(aLists.mClock);
-    run->mPercent = listed.mPercent;
-    run->mProgressClock = aLists.mClock;
-    run->mProgressReportedAt = now;
   }
 }
 
 void
-Coordinator::AddOrphan(WorkerSession& aWorker, const ActiveRun& aRun)
+Coordinator::OnRunFound(WorkerSession& aWorker, const ActiveRun& aRun)
 {
   const TaskId& id = aRun.mRun.mTask;
-  const TrackedRun* known = aWorker.Find(id);
-  if (known != nullptr && known->mNumber > aRun.mRun.mNumber) {
-    return;
-  }
-  TrackedRun run;
-  run.mNumber = aRun.mRun.mNumber;
-  run.mPhase = RunPhase::Running;
-  run.mIsOrphan = true;
-  run.mIsLocated = true;
-  run.mLastOrderAt = mClock.MonotonicNow();
-  run.mPercent = aRun.mPercent;
-  run.mProgressReportedAt = run.mLastOrderAt;
-  run.mIgnoreHoldsUpTo = aWorker.mHoldsSent;
-  aWorker.Remove(id);
-  if (aWorker.mOrphanCount == 0) {
-    aWorker.mFirstOrphanAt = run.mLastOrderAt;
-  }
-  aWorker.Add(id, run);
-  aWorker.AssumeLeaseGranted(run.mLastOrderAt);
   mWorkersWithOrphans.insert(aWorker.Report().mBoot.mId);
   EventLine(mLog, "run-found")
     .With("job", id.mJob)
     .With("step", id.mStep)
     .With("task", id.mIndex)
-    .With("run", run.mNumber)
+    .With("run", aRun.mRun.mNumber)
     .With("worker", aWorker.Report().mBoot.mId)
-    .With("percent", run.mPercent);
+    .With("percent", aRun.mPercent);
   if (mScope.IsLocal()) {
     StopRun(aWorker, id, *aWorker.Find(id));
     return;
@@ -375,46 +366,31 @@
   if (job == nullptr) {
     return;
   }
-  DispatchTask* task = job->Task(id);
-  if (task != nullptr && task->mPhase == TaskPhase::Ready) {
-    ClaimOrphans(*job);
-    return;
-  }
-  // The task is done or assigned to another run.
+  const DispatchTask* task = job->Task(id);
   if (task != nullptr) {
     aWorker.SetNeeds(*aWorker.Find(id), job->Step(id).mNeeds);
   }
-  StopRun(aWorker, id, *aWorker.Find(id));
-}
-
-void
-Coordinator::RemoveUnlistedRuns(WorkerSession& aWorker,
-                                std::uint64_t aHold,
-                                const std::vector<ActiveRun>& aRunning)
-{
-  std::set<std::pair<TaskId, RunNumber>> listed;
-  for (const ActiveRun& run : aRunning) {
-    listed.emplace(run.mRun.mTask, run.mRun.mNumber);
-  }
-  std::vector<TaskId> missing;
-  for (const auto& [task, run] : aWorker.Runs()) {
-    const bool isConfirmed =
-      run.mPhase == RunPhase::Running || run.mStopConfirmed || run.mIsInherited;
-    if (isConfirmed && aHold > run.mIgnoreHoldsUpTo &&
-        listed.count({ task, run.mNumber }) == 0) {
-      missing.push_back(task);
-    }
-  }
-  for (const TaskId& task : missing) {
-    MarkRunLost(aWorker, task, "missing from the worker's run list");
+  const bool mayBeClaimed =
+    task != nullptr && !job->HasEnded() && !job->mCancelRequested &&
+    (task->mPhase == TaskPhase::Ready || task->mPhase == TaskPhase::Blocked);
+  if (mayBeClaimed) {
+    MarkBegun(*job);
+    ClaimFoundRun(*job, id);
+    mReady.Update(*job);
+    return;
   }
+  // The job has ended, or the task is done or assigned to another run.
+  StopRun(aWorker, id, *aWorker.Find(id));
 }
 
 void
 Coordinator::RemoveRunsIfLeaseExpired(WorkerSession& aWorker, TimePoint aNow)
 {
   if (aWorker.HasLeaseExpired(aNow)) {
-    MarkAllRunsLost(aWorker, "the lease of the worker has expired");
+    MarkRunsLost(aWorker,
+                 RunEvidence::LeaseExpired(aNow),
+                 {},
+                 "the lease of the worker has expired");
   }
 }
 
--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -37,6 +37,16 @@
   return job == mJobs.end() ? nullptr : job->second.get();
 }
 
+void
+Coordinator::MarkBegun(DispatchJob& aJob)
+{
+  aJob.mStarted = true;
+  aJob.mHasBegun = true;
+  if (aJob.mState == JobState::Queued) {
+    aJob.mState = JobState::Running;
+  }
+}
+
 void
 Coordinator::MarkStepReady(DispatchJob& aJob, std::uint32_t aStep)
 {
@@ -46,6 +56,11 @@
       ++aJob.mReadyTaskCount;
     }
   }
+  for (const auto& [task, worker] : mLedger.FoundRunsOf(aJob.mSubmission.mId)) {
+    if (task.mStep == aStep) {
+      ClaimFoundRun(aJob, task);
+    }
+  }
   mReady.Update(aJob);
 }
 
@@ -61,17 +76,19 @@
 }
 
 void
-Coordinator::RequeueTask(DispatchJob& aJob, DispatchTask& aTask)
+Coordinator::RequeueTask(DispatchJob& aJob, const TaskId& aTask)
 {
-  if (aTask.mPhase != TaskPhase::Assigned &&
-      aTask.mPhase != TaskPhase::Recording) {
+  DispatchTask& task = *aJob.Task(aTask);
+  if (task.mPhase != TaskPhase::Assigned &&
+      task.mPhase != TaskPhase::Recording) {
     return;
   }
-  if (!aTask.mWorker.empty()) {
-    aTask.mFailedOn.push_back(aTask.mWorker);
+  if (!task.mWorker.empty()) {
+    task.mFailedOn.push_back(task.mWorker);
   }
-  ReleaseTask(aJob, aTask, TaskPhase::Ready);
+  ReleaseTask(aJob, task, TaskPhase::Ready);
   ++aJob.mReadyTaskCount;
+  ClaimFoundRun(aJob, aTask);
   mReady.Update(aJob);
 }
 
@@ -83,7 +100,10 @@
     return;
   }
   ReleaseTask(aJob, task, TaskPhase::Done);
-  aJob.mStarted = true;
+  MarkBegun(aJob);
+  for (const WorkerId& worker : mLedger.FoundRunsOf(aTask)) {
+    StopFoundRun(aTask, worker);
+  }
   mReady.Update(aJob);
   if (--aJob.mUnfinishedTasks[aTask.mStep] > 0 || aJob.HasEnded()) {
     return;
@@ -102,27 +122,33 @@
       MarkStepReady(aJob, step);
     }
   }
-  if (allDone) {
+  if (allDone && !IsCancelDecided(aJob)) {
     EndJob(aJob, JobState::Completed);
   }
 }
 
 void
-Coordinator::FailTask(DispatchJob& aJob, const TaskId& aTask)
+Coordinator::CountFailedRun(DispatchJob& aJob, const TaskId& aTask)
 {
   DispatchTask& task = *aJob.Task(aTask);
   if (task.mPhase == TaskPhase::Done) {
     return;
   }
   ++task.mFailures;
-  RequeueTask(aJob, task);
-  if (task.mFailures < aJob.mQueue.mMaxAttempts || aJob.HasEnded()) {
+  if (task.mFailures < aJob.mQueue.mMaxAttempts || aJob.HasEnded() ||
+      IsCancelDecided(aJob)) {
     return;
   }
   StopRunsOf(aJob);
   EndJob(aJob, JobState::Failed);
 }
 
+bool
+Coordinator::IsCancelDecided(const DispatchJob& aJob)
+{
+  return aJob.mCancelRequested && !aJob.mIsStored;
+}
+
 void
 Coordinator::EndJob(DispatchJob& aJob, JobState aState)
 {
@@ -145,6 +171,7 @@
   reply.mKind = JobReplyKind::Accepted;
   reply.mState = aState;
   ReplyAll(aJob, reply);
+  StopFoundRunsOf(aJob.mSubmission.mId);
 }
 
 void
@@ -171,55 +198,91 @@
       }
     }
   }
+  StopFoundRunsOf(aJob.mSubmission.mId);
+}
+
+TrackedRun*
+Coordinator::FoundRun(const TaskId& aTask, const WorkerId& aWorker)
+{
+  const auto worker = mWorkers.find(aWorker);
+  return worker == mWorkers.end() ? nullptr : worker->second.Find(aTask);
 }
 
 void
-Coordinator::ClaimOrphans(DispatchJob& aJob)
+Coordinator::StopFoundRun(const TaskId& aTask, const WorkerId& aWorker)
 {
-  const TaskId first{ aJob.mSubmission.mId, 0, 0, 0 };
-  for (const WorkerId& id : mWorkersWithOrphans) {
-    const auto found = mWorkers.find(id);
-    if (found == mWorkers.end()) {
-      continue;
-    }
-    WorkerSession& worker = found->second;
-    auto& runs = worker.Runs();
-    for (auto entry = runs.lower_bound(first);
-         entry != runs.end() && entry->first.mJob == first.mJob;
-         ++entry) {
-      DispatchTask* task = aJob.Task(entry->first);
-      TrackedRun& run = entry->second;
-      if (task == nullptr || task->mPhase != TaskPhase::Ready) {
-        continue;
-      }
-      worker.SetNeeds(run, aJob.Step(entry->first).mNeeds);
-      ReleaseTask(aJob, *task, TaskPhase::Assigned);
-      ++aJob.mAssignedTaskCount;
-      task->mWorker = id;
-      task->mLastRun = run.mNumber;
-      aJob.mStarted = true;
-      aJob.mState = JobState::Running;
-      EventLine(mLog, "run-claimed")
-        .With("job", entry->first.mJob)
-        .With("step", entry->first.mStep)
-        .With("task", entry->first.mIndex)
-        .With("run", run.mNumber)
-        .With("worker", id);
+  if (TrackedRun* run = FoundRun(aTask, aWorker)) {
+    StopRun(mWorkers.at(aWorker), aTask, *run);
+  }
+}
+
+void
+Coordinator::StopFoundRunsOf(const JobId& aJob)
+{
+  for (const auto& [task, worker] : mLedger.FoundRunsOf(aJob)) {
+    StopFoundRun(task, worker);
+  }
+}
+
+void
+Coordinator::AdoptRuns(DispatchJob& aJob)
+{
+  const JobId& id = aJob.mSubmission.mId;
+  for (const auto& [task, worker] : mLedger.FoundRunsOf(id)) {
+    TrackedRun* run = FoundRun(task, worker);
+    if (run != nullptr && aJob.Task(task) != nullptr) {
+      mWorkers.at(worker).SetNeeds(*run, aJob.Step(task).mNeeds);
+      MarkBegun(aJob);
     }
+    ClaimFoundRun(aJob, task);
   }
   mReady.Update(aJob);
+  const TaskId first{ id, 0, 0, 0 };
   for (auto entry = mUnmatchedEnds.lower_bound(first);
        entry != mUnmatchedEnds.end() && entry->first.mJob == first.mJob &&
-       !aJob.HasEnded();) {
+       !aJob.HasEnded();
+       entry = mUnmatchedEnds.lower_bound(first)) {
     const TaskId task = entry->first;
     const bool done = entry->second.mEnd == RunEnd::Done;
-    entry = mUnmatchedEnds.erase(entry);
+    mUnmatchedEnds.erase(entry);
     if (done && aJob.Task(task) != nullptr) {
       FinishTask(aJob, task);
     }
   }
 }
 
+void
+Coordinator::ClaimFoundRun(DispatchJob& aJob, const TaskId& aTask)
+{
+  DispatchTask* task = aJob.Task(aTask);
+  const bool mayClaim = task != nullptr && task->mPhase == TaskPhase::Ready &&
+                        !aJob.HasEnded() && !aJob.mCancelRequested;
+  if (!mayClaim) {
+    return;
+  }
+  for (const WorkerId& id : mLedger.FoundRunsOf(aTask)) {
+    TrackedRun* run = FoundRun(aTask, id);
+    if (run == nullptr || task->mPhase == TaskPhase::Assigned) {
+      StopFoundRun(aTask, id);
+      continue;
+    }
+    mLedger.Claim(aTask, id);
+    mWorkers.at(id).SetNeeds(*run, aJob.Step(aTask).mNeeds);
+    ReleaseTask(aJob, *task, TaskPhase::Assigned);
+    ++aJob.mAssignedTaskCount;
+    task->mWorker = id;
+    task->mLastRun = std::max(task->mLastRun, run->mNumber);
+    MarkBegun(aJob);
+    EventLine(mLog, "run-claimed")
+      .With("job", aTask.mJob)
+      .With("step", aTask.mStep)
+      .With("task", aTask.mIndex)
+      .With("run", run->mNumber)
+      .With("stopping", run->mPhase == RunPhase::Stopping)
+      .With("worker", id);
+  }
+}
+
 bool
 Coordinator::IsTooLarge(const DispatchJob& aJob) const
 {
@@ -381,8 +444,8 @@
     }
     const bool ended =
       job->HasEnded() && aNow - job->mEndedAt > RetentionOf(*job);
-    const bool abandoned =
-      job->mAbandoned && !job->HasEnded() && !job->mIsStored;
+    const bool abandoned = job->mAbandoned && !job->HasEnded() &&
+                           !job->mIsStored && !job->mCancelRequested;
     if (!ended && !abandoned) {
       continue;
     }
@@ -390,6 +453,7 @@
       ExpireAt(*job, aNow + kCleanupInterval);
       continue;
     }
+    StopFoundRunsOf(id);
     RecordRemoval(*job);
     mReady.Remove(*job);
     mJobs.erase(id);
--- a/Source/Dispatch/CoordinatorLocal.cxx
+++ b/Source/Dispatch/CoordinatorLocal.cxx
@@ -1,8 +1,6 @@
 // Limits of a local leader: which calls only an elected leader may serve.
 #include "Dispatch/Coordinator.h"
 
-#include <algorithm>
-
 namespace almondspoke::dispatch {
 
 namespace {
@@ -16,13 +14,21 @@
 bool
 Coordinator::DefersToElectedLeader(CallId aCall, const JobCall& aRequest)
 {
+  // A cancellation that is not stored would not bind the next elected leader.
+  if (aRequest.mKind == JobCallKind::Cancel) {
+    Reply(aCall,
+          JobReplyKind::Unavailable,
+          "a cancellation needs an elected leader, and none can be reached");
+    return true;
+  }
   const QueueMatch match =
     FindQueue(*mManifest, aRequest.mHost, aRequest.mPath);
   const JobId id(match.mPathSuffix);
   if (FindJob(id) != nullptr) {
     return false;
   }
-  if (mExcludedCalls.count(CallKeyOf(aRequest)) != 0 || HasOrphansOf(id)) {
+  if (mExcludedCalls.count(CallKeyOf(aRequest)) != 0 ||
+      !mLedger.FoundRunsOf(id).empty()) {
     Reply(
       aCall,
       JobReplyKind::Unknown,
@@ -49,22 +55,4 @@
   }
 }
 
-bool
-Coordinator::HasOrphansOf(const JobId& aJob) const
-{
-  const TaskId first{ aJob, 0, 0, 0 };
-  return std::any_of(mWorkersWithOrphans.begin(),
-                     mWorkersWithOrphans.end(),
-                     [&](const WorkerId& aWorker) {
-                       const auto worker = mWorkers.find(aWorker);
-                       if (worker == mWorkers.end()) {
-                         return false;
-                       }
-                       const auto& runs = worker->second.Runs();
-                       const auto run = runs.lower_bound(first);
-                       return run != runs.end() && run->first.mJob == aJob &&
-                              run->second.mIsOrphan;
-                     });
-}
-
 }
--- a/Source/Dispatch/CoordinatorRecords.cxx
+++ b/Source/Dispatch/CoordinatorRecords.cxx
@@ -150,6 +150,8 @@
   PendingBatch([](bool) {}).mRegistered.push_back(aWorker.Report());
 }
 
+// A failed end counts also if this leader did not track the run, for example
+// since an earlier leader started it.
 void
 Coordinator::StoreEnd(WorkerSession& aWorker,
                       DispatchJob& aJob,
@@ -157,46 +159,81 @@
 {
   const TaskId& id = aEnd.mRun.mTask;
   DispatchTask& task = *aJob.Task(id);
-  if (task.mPhase == TaskPhase::Done || task.mPhase == TaskPhase::Recording) {
+  const bool isNew = aEnd.mRun.mNumber > task.mLastEndedRun;
+  const bool isDone = aEnd.mEnd == RunEnd::Done;
+  const bool isStored = task.mPhase == TaskPhase::Done ||
+                        (!isDone && !isNew && task.mEndsBeingStored == 0);
+  if (isStored) {
     return;
   }
-  const auto currentWorker = mWorkers.find(task.mWorker);
-  if (task.mPhase == TaskPhase::Assigned && currentWorker != mWorkers.end()) {
-    // If the task has a current run, the end belongs to an earlier one.
-    if (TrackedRun* currentRun = currentWorker->second.Find(id)) {
-      StopRun(currentWorker->second, id, *currentRun);
-    }
-  }
-  ReleaseTask(aJob, task, TaskPhase::Recording);
-  aJob.mStarted = true;
-  mReady.Update(aJob);
+  task.mLastEndedRun = std::max(task.mLastEndedRun, aEnd.mRun.mNumber);
+  task.mLastRun = std::max(task.mLastRun, aEnd.mRun.mNumber);
+  MarkBegun(aJob);
+  AwaitEndRecord(aJob, id, isDone);
+  ++task.mEndsBeingStored;
   aWorker.mUnstoredEnds.insert(aEnd.mNumber);
   EndRecord record;
   record.mJob = id.mJob;
   record.mStep = id.mStep;
   record.mIndex = id.mIndex;
   record.mRun = aEnd.mRun.mNumber;
-  record.mDone = aEnd.mEnd == RunEnd::Done;
+  record.mDone = isDone;
   record.mCheckpoint = aEnd.mCheckpoint;
-  PendingBatch([this, boot = aWorker.Report().mBoot, end = aEnd](bool) {
-    OnEndStored(boot, end);
+  PendingBatch([this, boot = aWorker.Report().mBoot, end = aEnd, isNew](bool) {
+    OnEndStored(boot, end, isNew);
   }).mEnds.push_back(std::move(record));
 }
 
+// A failed end of an earlier run leaves the current one alone.
 void
-Coordinator::OnEndStored(const WorkerBoot& aBoot, const EndedRun& aEnd)
+Coordinator::AwaitEndRecord(DispatchJob& aJob,
+                            const TaskId& aTask,
+                            bool aIsDone)
+{
+  DispatchTask& task = *aJob.Task(aTask);
+  const auto worker = mWorkers.find(task.mWorker);
+  TrackedRun* currentRun =
+    task.mPhase == TaskPhase::Assigned && worker != mWorkers.end()
+      ? worker->second.Find(aTask)
+      : nullptr;
+  if (aIsDone && currentRun != nullptr) {
+    StopRun(worker->second, aTask, *currentRun);
+  }
+  const bool mustWait =
+    aIsDone || (currentRun == nullptr && task.mPhase != TaskPhase::Blocked);
+  if (mustWait) {
+    ReleaseTask(aJob, task, TaskPhase::Recording);
+    mReady.Update(aJob);
+  }
+}
+
+void
+Coordinator::OnEndStored(const WorkerBoot& aBoot,
+                         const EndedRun& aEnd,
+                         bool aIsNew)
 {
   if (WorkerSession* worker = SessionOf(aBoot)) {
     worker->mUnstoredEnds.erase(aEnd.mNumber);
   }
-  DispatchJob* job = FindJob(aEnd.mRun.mTask.mJob);
-  if (job == nullptr || job->HasEnded()) {
+  const TaskId& id = aEnd.mRun.mTask;
+  DispatchJob* job = FindJob(id.mJob);
+  if (job == nullptr) {
+    return;
+  }
+  DispatchTask& task = *job->Task(id);
+  --task.mEndsBeingStored;
+  if (job->HasEnded()) {
     return;
   }
   if (aEnd.mEnd == RunEnd::Done) {
-    FinishTask(*job, aEnd.mRun.mTask);
+    FinishTask(*job, id);
   } else {
-    FailTask(*job, aEnd.mRun.mTask);
+    if (task.mPhase == TaskPhase::Recording && task.mEndsBeingStored == 0) {
+      RequeueTask(*job, id);
+    }
+    if (aIsNew) {
+      CountFailedRun(*job, id);
+    }
   }
   Schedule();
 }
@@ -213,6 +250,7 @@
   job->mArrivalNumber = mNextArrivalNumber++;
   job->mAcceptCommitted = true;
   job->mState = aStored.mState;
+  job->mHasBegun = aStored.mState != JobState::Queued;
   DispatchJob& loaded = *job;
   mJobs.emplace(aStored.mSubmission.mId, std::move(job));
   if (loaded.HasEnded()) {
@@ -228,6 +266,7 @@
       DispatchTask& task = loaded.mSteps[step][index];
       task.mFailures = stored.mFailures;
       task.mLastRun = stored.mLastEndedRun;
+      task.mLastEndedRun = stored.mLastEndedRun;
       task.mCheckpoint = stored.mCheckpoint;
       if (stored.mDone) {
         task.mPhase = TaskPhase::Done;
@@ -248,10 +287,30 @@
   }
 }
 
+// The retention begins anew with each leader, so that it does not depend on how
+// well the clocks of the leaders agree.
+void
+Coordinator::LoadCancelledJob(const JobId& aId, std::int64_t aCancelledMs)
+{
+  auto job = std::make_unique<DispatchJob>();
+  job->mSubmission.mId = aId;
+  job->mSubmission.mBestEffort = true;
+  job->mState = JobState::Cancelled;
+  job->mCancelRequested = true;
+  job->mArrivedAt = mClock.MonotonicNow();
+  job->mEndedAt = job->mArrivedAt;
+  job->mArrivalNumber = mNextArrivalNumber++;
+  ExpireAt(*job, job->mEndedAt + RetentionOf(*job));
+  EventLine(mLog, "cancelled-job-loaded")
+    .With("job", aId)
+    .With("age_ms", WallMilliseconds(mClock) - aCancelledMs);
+  mJobs.emplace(aId, std::move(job));
+}
+
 void
 Coordinator::RecordRemoval(const DispatchJob& aJob)
 {
-  if (aJob.mIsStored) {
+  if (aJob.mIsStored || aJob.mState == JobState::Cancelled) {
     PendingBatch([](bool) {}).mRemovedJobs.push_back(aJob.mSubmission.mId);
   }
 }
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -117,7 +117,6 @@
     mLatencies.mFirstStarts.Add(
       duration_cast<milliseconds>(now - aJob.mArrivedAt));
     aJob.mStarted = true;
-    aJob.mState = JobState::Running;
   }
   ++mCounters.mStarts;
   EventLine(mLog, "run-ordered")
@@ -189,6 +188,9 @@
     run->mPhase = RunPhase::Running;
   }
   run->Confirm(aResult.mClock);
+  if (DispatchJob* job = FindJob(aRun.mTask.mJob)) {
+    MarkBegun(*job);
+  }
   // The clock of a later boot begins anew.
   run->mIsLocated = run->mIsLocated || aResult.mClock >= run->mMinClockAtStart;
   Hold(*worker, !run->mIsLocated);
@@ -242,7 +244,8 @@
     aWorker.RequireRead();
     aWorker.mNextHoldAt = {};
   }
-  MarkRunLost(aWorker, aRun.mTask, "not started");
+  MarkRunLost(
+    aWorker, aRun, RunEvidence::StartRefused(aOutcome), "not started");
 }
 
 void
@@ -349,29 +352,32 @@
 
 void
 Coordinator::MarkRunLost(WorkerSession& aWorker,
-                         // NOLINTNEXTLINE(performance-unnecessary-value-param)
-                         TaskId aTask,
+                         const RunId& aRun,
+                         const RunEvidence& aEvidence,
                          const char* aReason)
 {
-  const TrackedRun* run = aWorker.Find(aTask);
-  const RunNumber number = run->mNumber;
-  const bool wasOrphan = run->mIsOrphan;
-  aWorker.Remove(aTask);
+  const std::optional<TrackedRun> run =
+    mLedger.Conclude(aWorker, aRun, aEvidence);
+  if (!run) {
+    return;
+  }
   ++mCounters.mRunsLost;
   EventLine(mLog, "run-lost")
-    .With("job", aTask.mJob)
-    .With("step", aTask.mStep)
-    .With("task", aTask.mIndex)
-    .With("run", number)
+    .With("job", aRun.mTask.mJob)
+    .With("step", aRun.mTask.mStep)
+    .With("task", aRun.mTask.mIndex)
+    .With("run", aRun.mNumber)
     .With("worker", aWorker.Report().mBoot.mId)
+    .With("evidence", NameOf(aEvidence.mKind))
+    .With("list", aEvidence.mListOrder)
     .With("reason", aReason);
-  DispatchJob* job = FindJob(aTask.mJob);
-  DispatchTask* task = job == nullptr ? nullptr : job->Task(aTask);
-  const bool isCurrentRun = !wasOrphan && task != nullptr &&
+  DispatchJob* job = FindJob(aRun.mTask.mJob);
+  const DispatchTask* task = job == nullptr ? nullptr : job->Task(aRun.mTask);
+  const bool isCurrentRun = !run->mIsOrphan && task != nullptr &&
                             task->mPhase == TaskPhase::Assigned &&
                             task->mWorker == aWorker.Report().mBoot.mId;
   if (isCurrentRun) {
-    RequeueTask(*job, *task);
+    RequeueTask(*job, aRun.mTask);
   }
 }
 
--- a/Source/Dispatch/CoordinatorWorkers.cxx
+++ b/Source/Dispatch/CoordinatorWorkers.cxx
@@ -182,7 +182,7 @@
     .With("runs_in_doubt", std::uint64_t{ inherited.size() });
   const std::uint32_t round = std::min(aFormer.mFenceRound + 1, kMaxRound);
   const WorkerBoot storedBoot = aFormer.mStoredBoot;
-  MarkAllRunsLost(aFormer, kRestarted);
+  MarkRunsLost(aFormer, RunEvidence::BootOver(true), {}, kRestarted);
   RemoveSession(aFormer);
   WorkerSession& worker = AddSession(aReport);
   worker.mIsRegistering = true;
@@ -282,7 +282,7 @@
     .With("worker", aId)
     .With("reason", aReason)
     .With("runs", std::uint64_t{ worker.Runs().size() });
-  MarkAllRunsLost(worker, aReason);
+  MarkRunsLost(worker, RunEvidence::BootOver(false), {}, aReason);
   if (worker.mIsRegistering) {
     --mProvenWorkers;
     PendingBatch([](bool) {}).mRemovedWorkers.push_back(worker.mStoredBoot);
@@ -291,10 +291,13 @@
 }
 
 void
-Coordinator::MarkAllRunsLost(WorkerSession& aWorker, const char* aReason)
+Coordinator::MarkRunsLost(WorkerSession& aWorker,
+                          const RunEvidence& aEvidence,
+                          const std::vector<ActiveRun>& aListed,
+                          const char* aReason)
 {
-  while (!aWorker.Runs().empty()) {
-    MarkRunLost(aWorker, aWorker.Runs().begin()->first, aReason);
+  for (const RunId& run : RunLedger::RunsOver(aWorker, aEvidence, aListed)) {
+    MarkRunLost(aWorker, run, aEvidence, aReason);
   }
 }
 
--- a/Source/Dispatch/DispatchJob.h
+++ b/Source/Dispatch/DispatchJob.h
@@ -36,6 +36,10 @@
   /** Number of failed runs. */
   std::uint32_t mFailures = 0;
   RunNumber mLastRun = 0;
+  /** Highest run number whose end has been stored, or is being stored. */
+  RunNumber mLastEndedRun = 0;
+  /** Number of ends that are being stored. */
+  std::uint32_t mEndsBeingStored = 0;
   /** Worker of the current run; empty if there is none. */
   WorkerId mWorker;
   /** Workers on which earlier runs did not succeed. */
@@ -83,7 +87,11 @@
   TimePoint mDueAt{};
   JobState mState = JobState::Queued;
   TimePoint mEndedAt{};
+  /** True once an order to start a run was given, or a run is known to have
+   * begun. */
   bool mStarted = false;
+  /** True once a run of the job is known to have begun. */
+  bool mHasBegun = false;
   /** True if the job is stored and therefore survives a change of leader. */
   bool mIsStored = false;
   /** True once the acceptance of a stored job has been committed. */
@@ -94,6 +102,8 @@
   /** True if no further tasks of the job are started, for example because its
    * caller has disconnected. */
   bool mAbandoned = false;
+  /** True once a call has requested the job's cancellation. */
+  bool mCancelRequested = false;
   std::vector<std::vector<DispatchTask>> mSteps;
   /** Number of unfinished tasks of each step. */
   std::vector<std::uint32_t> mUnfinishedTasks;
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "Base/Clock.h"
+#include "Dispatch/ListOrders.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Dispatch/WorkerHealth.h"
 
@@ -232,6 +233,7 @@
   unsigned mUnansweredHolds = 0;
   bool mHoldInFlight = false;
   std::uint64_t mHoldsSent = 0;
+  ListOrders mLists;
   TimePoint mNextHoldAt{};
   /** Highest end number that has been processed. */
   std::uint64_t mLastProcessedEnd = 0;
--- a/Tests/Dispatch/LocalLeadershipTest.cxx
+++ b/Tests/Dispatch/LocalLeadershipTest.cxx
@@ -192,6 +192,28 @@
   CHECK(fixture.mFleet.StartsOf("j1") == 0);
 }
 
+// Guards against a cancelled job that runs after the partition: a local leader
+// stores nothing, so that its cancellation would bind no other leader.
+TEST_CASE("Local leader: confirms no cancellation of a job that it runs")
+{
+  DispatchFixture fixture;
+  StartRecoveredLeader(fixture);
+  fixture.Disconnect(kPartitionedWorkers);
+  fixture.StartLocalLeader("zagreb");
+  fixture.Run(milliseconds(1500));
+  JobCall call = fixture.CallOf("urgent", "j1", 1, 10'000, false);
+  const CallId submitted = fixture.SubmitLocally(call, milliseconds(200));
+  fixture.Run(milliseconds(50));
+  REQUIRE(fixture.mFleet.StartsOf("j1") == 1);
+  call.mKind = JobCallKind::Cancel;
+  const CallId cancelled = fixture.SubmitLocally(call, milliseconds(200));
+  REQUIRE(fixture.LocalReplyTo(cancelled));
+  CHECK(fixture.LocalReplyTo(cancelled)->mKind == JobReplyKind::Unavailable);
+  fixture.Run(milliseconds(400));
+  REQUIRE(fixture.LocalReplyTo(submitted));
+  CHECK(fixture.LocalReplyTo(submitted)->mState == JobState::Completed);
+}
+
 TEST_CASE("Local leader: does not extend leases of an elected leader's runs")
 {
   DispatchFixture fixture;
--- a/Tests/Dispatch/ScriptedLeader.h
+++ b/Tests/Dispatch/ScriptedLeader.h
@@ -135,6 +135,17 @@
     mCoordinator.Call(++mLastCall, call);
   }
 
+  /** Sends a call without a job, such as a query, for a path below a queue. */
+  dispatch::JobReply Ask(dispatch::JobCallKind aKind, const std::string& aPath)
+  {
+    dispatch::JobCall call;
+    call.mKind = aKind;
+    call.mHost = "desk";
+    call.mPath = aPath;
+    mCoordinator.Call(++mLastCall, call);
+    return mReplies[mLastCall];
+  }
+
   void AnswerStart(dispatch::OrderOutcome aOutcome)
   {
     const auto start = OrderRecorder::TakeFirst(mOrders.mStarts);
@@ -200,9 +211,10 @@
   {
     mReplies[aCall] = aReply;
   }
-  void Store(const dispatch::RecordBatch& /*aBatch*/,
+  void Store(const dispatch::RecordBatch& aBatch,
              dispatch::RecordSink::Done aDone) override
   {
+    mBatches.push_back(aBatch);
     mStored.push_back(std::move(aDone));
   }
   /** Completes the batches that were handed in for storing. */
@@ -232,6 +244,8 @@
   dispatch::Coordinator mCoordinator;
   std::map<dispatch::CallId, dispatch::JobReply> mReplies;
   std::vector<dispatch::RecordSink::Done> mStored;
+  /** All batches that were handed in for storing. */
+  std::vector<dispatch::RecordBatch> mBatches;
   dispatch::CallId mLastCall = 0;
   std::int64_t mElapsedMs = 0;
 
