--- a/Source/Dispatch/DispatchMetrics.cxx
+++ b/Source/Dispatch/DispatchMetrics.cxx
@@ -172,6 +172,32 @@
   return family;
 }
 
+MetricFamily
+RunsOver(const RunLedgerCounters& aCounters)
+{
+  MetricFamily family = FamilyOf("almondspoke_dispatch_runs_over_total",
+                                 "Runs that are over, by the evidence",
+                                 MetricType::Counter);
+  family.metric.clear();
+  for (std::size_t i = 0; i < aCounters.mOver.size(); ++i) {
+    ClientMetric metric;
+    metric.label.push_back(
+      { "evidence", std::string(NameOf(static_cast<EvidenceKind>(i))) });
+    metric.counter.value = static_cast<double>(aCounters.mOver[i]);
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
+constexpr std::array<CounterRow<RunLedgerCounters>, 2> kLedgerCounters = { {
+  { "almondspoke_dispatch_runs_found_total",
+    "Runs of other leaders that were found on workers",
+    &RunLedgerCounters::mFound },
+  { "almondspoke_dispatch_list_entries_out_of_date_total",
+    "Listed runs that were over when a later answer was made",
+    &RunLedgerCounters::mEntriesOutOfDate },
+} };
+
 template<typename Counters, std::size_t Size>
 void
 AddCounters(const std::array<CounterRow<Counters>, Size>& aRows,
@@ -279,6 +305,8 @@
                             "Runs that are, or may be, on workers",
                             static_cast<double>(coordinator.AssignedRuns())));
   AddCounters(kCoordinatorCounters, coordinator.Counters(), aFamilies);
+  aFamilies.push_back(RunsOver(coordinator.LedgerCounters()));
+  AddCounters(kLedgerCounters, coordinator.LedgerCounters(), aFamilies);
   AddCounters(kRelayCounters, mCoordinator->OrderCounters(), aFamilies);
   aFamilies.push_back(
     Gauge("almondspoke_dispatch_relay_orders_open",
