Dispatch: Lets a local leader wait for a found run without extending its lease

A task of a local leader whose run was lost claimed a run of the elected leader, which made the leader extend the lease of that run. The claim now leaves the run as one of another leader. Tests also cover an end that arrives while another one of the same task is being stored.

--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -267,7 +267,10 @@
       continue;
     }
     mLedger.Claim(aTask, id);
-    mWorkers.at(id).SetNeeds(*run, aJob.Step(aTask).mNeeds);
+    // A local leader must not extend the lease of a run that it has found.
+    if (!mScope.IsLocal()) {
+      mWorkers.at(id).SetNeeds(*run, aJob.Step(aTask).mNeeds);
+    }
     ReleaseTask(aJob, *task, TaskPhase::Assigned);
     ++aJob.mAssignedTaskCount;
     task->mWorker = id;
--- a/Source/Dispatch/CoordinatorRecords.cxx
+++ b/Source/Dispatch/CoordinatorRecords.cxx
@@ -217,18 +217,18 @@
   }
   const TaskId& id = aEnd.mRun.mTask;
   DispatchJob* job = FindJob(id.mJob);
-  if (job == nullptr) {
+  DispatchTask* task = job == nullptr ? nullptr : job->Task(id);
+  if (task == nullptr) {
     return;
   }
-  DispatchTask& task = *job->Task(id);
-  --task.mEndsBeingStored;
+  --task->mEndsBeingStored;
   if (job->HasEnded()) {
     return;
   }
   if (aEnd.mEnd == RunEnd::Done) {
     FinishTask(*job, id);
   } else {
-    if (task.mPhase == TaskPhase::Recording && task.mEndsBeingStored == 0) {
+    if (task->mPhase == TaskPhase::Recording && task->mEndsBeingStored == 0) {
       RequeueTask(*job, id);
     }
     if (aIsNew) {
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -373,7 +373,7 @@
     .With("reason", aReason);
   DispatchJob* job = FindJob(aRun.mTask.mJob);
   const DispatchTask* task = job == nullptr ? nullptr : job->Task(aRun.mTask);
-  const bool isCurrentRun = !run->mIsOrphan && task != nullptr &&
+  const bool isCurrentRun = task != nullptr &&
                             task->mPhase == TaskPhase::Assigned &&
                             task->mWorker == aWorker.Report().mBoot.mId;
   if (isCurrentRun) {
--- a/Source/Dispatch/RunLedger.cxx
+++ b/Source/Dispatch/RunLedger.cxx
@@ -204,6 +204,9 @@
 RunLedger::FoundRunsOf(const TaskId& aTask) const
 {
   std::vector<WorkerId> workers;
+  if (mFound.empty()) {
+    return workers;
+  }
   for (auto found = mFound.lower_bound({ aTask, WorkerId() });
        found != mFound.end() && found->first == aTask;
        ++found) {
@@ -216,6 +219,9 @@
 RunLedger::FoundRunsOf(const JobId& aJob) const
 {
   std::vector<std::pair<TaskId, WorkerId>> runs;
+  if (mFound.empty()) {
+    return runs;
+  }
   for (auto found = mFound.lower_bound({ TaskId{ aJob, 0, 0, 0 }, {} });
        found != mFound.end() && found->first.mJob == aJob;
        ++found) {
--- a/Tests/Dispatch/LocalLeadershipTest.cxx
+++ b/Tests/Dispatch/LocalLeadershipTest.cxx
@@ -214,6 +214,61 @@
   CHECK(fixture.LocalReplyTo(submitted)->mState == JobState::Completed);
 }
 
+// Guards against two runs of a task, and against a lease that an elected leader
+// counts on to end: the task of a run that is lost has a found run elsewhere.
+TEST_CASE(
+  "Local leader: waits for the end of a found run without extending its "
+  "lease")
+{
+  DispatchState state;
+  state.mFence = ScriptedLeader::kFence;
+  for (const char* id : { "w0", "w1" }) {
+    state.mWorkers[id] = ScriptedLeader::ReportOf(id);
+    state.mWorkers[id].mDataCentre = "zagreb";
+  }
+  ScriptedLeader leader;
+  leader.mCoordinator.BeginLeading(
+    ScriptedLeader::kFence, state, {}, { "zagreb", 7 });
+  const auto answer = [&](const WorkerId& aWorker,
+                          std::vector<ActiveRun> aRunning,
+                          std::vector<EndedRun> aEnded) {
+    for (auto& hold : leader.mOrders.mHolds) {
+      if (hold.mOrder.mTarget.mBoot.mId == aWorker) {
+        std::swap(hold, leader.mOrders.mHolds.front());
+        leader.AnswerHold(std::move(aRunning), std::move(aEnded));
+        return;
+      }
+    }
+    FAIL("no hold order to the worker");
+  };
+  answer("w0", {}, {});
+  leader.Submit("job", 1, 8000);
+  REQUIRE(leader.mOrders.mStarts.size() == 1);
+  REQUIRE(leader.mOrders.mStarts.front().mOrder.mTarget.mBoot.mId == "w0");
+  const RunId lost = leader.mOrders.mStarts.front().mOrder.mRun;
+  leader.AnswerStart(OrderOutcome::Done);
+  ActiveRun found;
+  found.mRun = { lost.mTask, 77 };
+  answer("w1", { found }, {});
+  REQUIRE(leader.mOrders.mStops.size() == 1);
+  EndedRun end;
+  end.mNumber = 1;
+  end.mRun = lost;
+  end.mEnd = RunEnd::LeaseExpired;
+  answer("w0", {}, { end });
+  leader.Run(milliseconds(30));
+  CHECK(leader.mOrders.mStarts.empty());
+  for (const auto& hold : leader.mOrders.mHolds) {
+    const bool isOfFound = hold.mOrder.mTarget.mBoot.mId == "w1";
+    CHECK((!isOfFound || hold.mOrder.mLeaseEnd == 0));
+  }
+  end.mRun = found.mRun;
+  end.mEnd = RunEnd::Stopped;
+  answer("w1", {}, { end });
+  leader.Run(milliseconds(10));
+  CHECK(leader.mOrders.mStarts.size() == 1);
+}
+
 TEST_CASE("Local leader: does not extend leases of an elected leader's runs")
 {
   DispatchFixture fixture;
--- a/Tests/Dispatch/RunEvidenceTest.cxx
+++ b/Tests/Dispatch/RunEvidenceTest.cxx
@@ -297,6 +297,33 @@
         JobState::Running);
 }
 
+// Guards against a start after an end `done` that was acknowledged: it was
+// dropped since a failed end of the same task was being stored.
+TEST_CASE("Run evidence: an end counts while another end of the task is being "
+          "stored")
+{
+  const TaskId task{ "job", 0, 0, 0 };
+  DispatchState state = StateWithFailures(0);
+  state.mWorkers["w1"] = ScriptedLeader::ReportOf("w1");
+  ScriptedLeader leader;
+  leader.mCoordinator.BeginLeading(ScriptedLeader::kFence, state, {});
+  REQUIRE(leader.mOrders.mHolds.size() == 2);
+  leader.AnswerHold({}, { EndOf(1, { task, 1 }, RunEnd::Failed) });
+  std::swap(leader.mOrders.mHolds.front(), leader.mOrders.mHolds.back());
+  while (!leader.mOrders.mHolds.empty() &&
+         leader.mOrders.mHolds.front().mOrder.mTarget.mBoot.mId != "w1") {
+    leader.mOrders.mHolds.pop_front();
+  }
+  REQUIRE_FALSE(leader.mOrders.mHolds.empty());
+  leader.AnswerHold({}, { EndOf(1, { task, 2 }, RunEnd::Done) });
+  CHECK(StoredEnds(leader) == 2);
+  leader.CompleteStores();
+  leader.Run(milliseconds(30));
+  CHECK(leader.mOrders.mStarts.empty());
+  CHECK(leader.Ask(JobCallKind::Query, "/patient/job").mState ==
+        JobState::Completed);
+}
+
 // Guards against a cancelled job that runs when its submission is repeated
 // after its leader was killed (review/8).
 TEST_CASE("Run evidence: a cancelled best-effort job is not started again "
