--- a/Source/Dispatch/DispatchState.cxx
+++ b/Source/Dispatch/DispatchState.cxx
@@ -18,8 +18,14 @@
   std::vector<WorkerReport> mWorkers;
   std::vector<StoredJob> mJobs;
   Evacuations mEvacuations;
-
-  MSGPACK_DEFINE(mFence, mManifest, mWorkers, mJobs, mEvacuations)
+  std::map<JobId, std::int64_t> mCancelledBestEffort;
+
+  MSGPACK_DEFINE(mFence,
+                 mManifest,
+                 mWorkers,
+                 mJobs,
+                 mEvacuations,
+                 mCancelledBestEffort)
 };
 
 bool
@@ -139,6 +145,10 @@
   }
   for (const JobId& id : aBatch.mRemovedJobs) {
     aState.mJobs.erase(id);
+    aState.mCancelledBestEffort.erase(id);
+  }
+  for (const JobId& id : aBatch.mCancelledBestEffort) {
+    aState.mCancelledBestEffort.emplace(id, aBatch.mTimeMs);
   }
   return true;
 }
@@ -158,6 +168,7 @@
     packed.mJobs.push_back(job);
   }
   packed.mEvacuations = aState.mEvacuations;
+  packed.mCancelledBestEffort = aState.mCancelledBestEffort;
   return PackMessage(packed);
 }
 
@@ -180,6 +191,7 @@
     const JobId id = job.mSubmission.mId;
     state.mJobs.emplace(id, std::move(job));
   }
+  state.mCancelledBestEffort = std::move(packed.mCancelledBestEffort);
   return state;
 }
 
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -54,6 +54,9 @@
   std::map<WorkerId, WorkerReport> mWorkers;
   std::map<JobId, StoredJob> mJobs;
   Evacuations mEvacuations;
+  /** Best-effort jobs that were cancelled, with the time in milliseconds since
+   * the Unix epoch. A repeated submission must not start them again. */
+  std::map<JobId, std::int64_t> mCancelledBestEffort;
 };
 
 /** \brief End of a run of a stored job. */
@@ -89,13 +92,15 @@
   std::vector<AcceptRecord> mAccepted;
   std::vector<EndRecord> mEnds;
   std::vector<JobId> mCancelled;
+  /** Jobs that are removed, stored ones and cancelled best-effort ones. */
   std::vector<JobId> mRemovedJobs;
+  std::vector<JobId> mCancelledBestEffort;
 
   bool IsEmpty() const
   {
     return mRegistered.empty() && mRemovedWorkers.empty() &&
            mAccepted.empty() && mEnds.empty() && mCancelled.empty() &&
-           mRemovedJobs.empty();
+           mRemovedJobs.empty() && mCancelledBestEffort.empty();
   }
 
   MSGPACK_DEFINE(mFence,
@@ -105,7 +110,8 @@
                  mAccepted,
                  mEnds,
                  mCancelled,
-                 mRemovedJobs)
+                 mRemovedJobs,
+                 mCancelledBestEffort)
 };
 
 /** \name Deterministic operations on the state, equal on every replica. */
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "Base/Clock.h"
+#include "Dispatch/ListOrders.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Dispatch/WorkerHealth.h"
 
@@ -163,6 +164,12 @@
            mUnansweredHolds == 0 && !mReport.mDraining && !mReport.mHasLeft;
   }
 
+  /** Returns whether the worker has a run that was started on probation. */
+  bool HasTrialRun() const
+  {
+    return mHealth.Trial() && mRuns.count(*mHealth.Trial()) != 0;
+  }
+
   /** Records that another leader may control the worker, or that its clock or
    * run list is not known: its lists must be read again under the current
    * fence before it is used. */
@@ -226,6 +233,7 @@
   unsigned mUnansweredHolds = 0;
   bool mHoldInFlight = false;
   std::uint64_t mHoldsSent = 0;
+  ListOrders mLists;
   TimePoint mNextHoldAt{};
   /** Highest end number that has been processed. */
   std::uint64_t mLastProcessedEnd = 0;
