--- a/Tests/Dispatch/EvacuationRequestsTest.cxx
+++ b/Tests/Dispatch/EvacuationRequestsTest.cxx
@@ -96,6 +96,13 @@
   CHECK(fixture.mAnswers == 2);
   CHECK_FALSE(fixture.mLast);
   CHECK(fixture.mRequests.Counters().mStored == 2);
+  fixture.mLog.Flush();
+  CHECK(fixture.mSink.mText.find("event=evacuation-requested data_centre=riga "
+                                 "evacuate=yes known=yes") !=
+        std::string::npos);
+  CHECK(fixture.mSink.mText.find("event=evacuation-answered data_centre=riga "
+                                 "evacuate=yes stored=yes reason=\"\" "
+                                 "took_ms=500") != std::string::npos);
 }
 
 TEST_CASE("Evacuation requests: an unknown outcome is proposed again")
--- a/Tests/Dispatch/EvacuationTest.cxx
+++ b/Tests/Dispatch/EvacuationTest.cxx
@@ -64,6 +64,9 @@
   fixture.Run(milliseconds(50));
   REQUIRE(fixture.RunsInRiga() == 2);
   fixture.Store("riga", true);
+  CHECK(fixture.Log().find("event=evacuation-in-force data_centre=riga "
+                           "evacuated=yes last=no workers=2 runs=2 "
+                           "usable_mcores=32000") != std::string::npos);
   // Longer than a lease, without which the workers would end the runs.
   fixture.Run(milliseconds(2500));
   CHECK(fixture.RunsInRiga() == 2);
