--- a/Tests/Dispatch/StateTest.cxx
+++ b/Tests/Dispatch/StateTest.cxx
@@ -178,7 +178,7 @@
 {
   DispatchStateMachine machine([](const auto&) {});
   const std::string before = machine.TakeSnapshot();
-  for (const char* bytes : { "", "M", "B", "Bxyz", "Mxyz", "?" }) {
+  for (const char* bytes : { "", "M", "B", "E", "Bxyz", "Mxyz", "Exyz", "?" }) {
     CHECK_FALSE(DispatchStateMachine::WasApplied(machine.Apply(1, bytes)));
   }
   CHECK(machine.TakeSnapshot() == before);
