--- a/Source/Dispatch/EvacuationRequests.cxx
+++ b/Source/Dispatch/EvacuationRequests.cxx
@@ -65,7 +65,7 @@
   request.mRecord = { aDataCentre, aIsEvacuated, mRevision() };
   request.mDone = std::move(aDone);
   request.mReceivedAt = mClock.MonotonicNow();
-  ProposeAgain(id, request);
+  SendProposal(id, request);
 }
 
 void
@@ -95,12 +95,12 @@
     Finish(id, NotStoredInTime());
   }
   for (const std::uint64_t id : due) {
-    ProposeAgain(id, mOpen.at(id));
+    SendProposal(id, mOpen.at(id));
   }
 }
 
 void
-EvacuationRequests::ProposeAgain(std::uint64_t aId, Request& aRequest)
+EvacuationRequests::SendProposal(std::uint64_t aId, Request& aRequest)
 {
   aRequest.mProposeAt.reset();
   mPropose(DispatchStateMachine::CommandOf(aRequest.mRecord),
--- a/Source/Dispatch/EvacuationRequests.h
+++ b/Source/Dispatch/EvacuationRequests.h
@@ -68,7 +68,7 @@
     std::optional<TimePoint> mProposeAt;
   };
 
-  void ProposeAgain(std::uint64_t aId, Request& aRequest);
+  void SendProposal(std::uint64_t aId, Request& aRequest);
   void OnProposalDone(std::uint64_t aId, const Result<std::string>& aResult);
   void Finish(std::uint64_t aId, const Result<void>& aResult);
 
