Tests: Closes the string literals of the settings test

The line ends in NodeSettingsTest.cxx stood in the literals as raw line breaks, so that test_dispatch didn't compile. They are escapes now; what is checked is the same.

--- a/Tests/Dispatch/NodeSettingsTest.cxx
+++ b/Tests/Dispatch/NodeSettingsTest.cxx
@@ -75,18 +75,12 @@
 
   const auto present =
     ParseNodeSettings("f.ini",
-                      kCoordinatorSettings + "memory-mb = 256
-"
-                                             "max-descriptors = 4096
-"
-                                             "data-centres = zagreb,sisak
-"
-                                             "learn-run-times = yes
-"
-                                             "spread-factor = 1.5
-"
-                                             "admission = expected-end
-");
+                      kCoordinatorSettings + "memory-mb = 256\n"
+                                             "max-descriptors = 4096\n"
+                                             "data-centres = zagreb,sisak\n"
+                                             "learn-run-times = yes\n"
+                                             "spread-factor = 1.5\n"
+                                             "admission = expected-end\n");
   REQUIRE(present);
   CHECK(present.value().mMemoryMegabytes == 256);
   CHECK(present.value().mMaxDescriptors == 4096);
