Dispatch: Places tasks by the learned speed of workers

Best fit sends work to any worker. Where a third of the workers take 1.7 times the nominal time, long tasks are late on them, and short ones take the place of long ones on the fast workers.

RunTimeModel learns a factor of each queue and step and one of each worker from the runs that end well, by the worker's clock. WorkerIndex lists the workers by tier of speed; a task takes the slowest tier in which it is expected to end in time, best fit within it, and the fastest if it is late in all. Where all workers are in one tier, the choices are those without a model.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -79,6 +79,7 @@
   , mRandom(aOptions.mSeed)
   , mOrderTimeouts(aOptions.mMaxOrderTimeout)
   , mFlow(aLog)
+  , mIndex(aOptions.mLearnRunTimes ? &mRunTimes : nullptr)
 {
 }
 
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -25,6 +25,7 @@
 #include "Dispatch/OrderTimeoutEstimator.h"
 #include "Dispatch/OverloadDetector.h"
 #include "Dispatch/ReadyQueue.h"
+#include "Dispatch/RunTimeModel.h"
 #include "Dispatch/StartWindow.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Dispatch/WorkerIndex.h"
@@ -77,6 +78,12 @@
   std::chrono::milliseconds mStoredResultRetention{ 130'000 };
   /** A worker without runs is removed if it has not reported for this long. */
   std::chrono::milliseconds mWorkerExpiry{ 12'000 };
+  /** Whether the run times of queues and workers are learned and decide where
+   * tasks are placed. */
+  bool mLearnRunTimes = false;
+  /** Run time of a task off the rack that it prefers, relative to that on it;
+   * 1 means that racks make no difference. */
+  double mSpreadFactor = 1.0;
   std::uint64_t mSeed = 1;
 };
 
@@ -195,6 +202,7 @@
   const CoordinatorCounters& Counters() const { return mCounters; }
   const CoordinatorLatencies& Latencies() const { return mLatencies; }
   const WorkerSessions& Workers() const { return mWorkers; }
+  const RunTimeModel& RunTimes() const { return mRunTimes; }
   std::size_t OpenJobs() const;
   std::size_t AssignedRuns() const;
 
@@ -370,6 +378,11 @@
   void OnUnanswered(WorkerSession& aWorker);
   void ProcessEnds(WorkerSession& aWorker, const std::vector<EndedRun>& aEnds);
   void ProcessEnd(WorkerSession& aWorker, const EndedRun& aEnd);
+  /** Passes the run time of a run to the RunTimeModel. */
+  void LearnRunTime(WorkerSession& aWorker,
+                    const DispatchJob& aJob,
+                    const TaskId& aTask,
+                    std::chrono::milliseconds aRunTime);
   void ProcessRunning(WorkerSession& aWorker, const HoldResult& aLists);
   void AddOrphan(WorkerSession& aWorker, const ActiveRun& aRun);
   void RemoveUnlistedRuns(WorkerSession& aWorker,
@@ -412,6 +425,7 @@
   TimePoint mLeadingSince{};
   std::shared_ptr<const Manifest> mManifest;
   WorkerSessions mWorkers;
+  RunTimeModel mRunTimes;
   WorkerIndex mIndex;
   StartWindows mWindows;
   WorkerTimers mTimers;
--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -2,6 +2,7 @@
 #include "Dispatch/Coordinator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace almondspoke::dispatch {
 
@@ -148,6 +149,8 @@
     }
     return;
   }
+  // After a gap, a run may have ended long before it is listed.
+  worker.mListedAtClock = worker.mUnansweredHolds == 0 ? aResult.mClock : 0;
   if (worker.mUnansweredHolds > 0) {
     EventLine(mLog, "worker-answers-again")
       .With("worker", aBoot.mId)
@@ -239,6 +242,10 @@
   const bool isTracked = run != nullptr && run->mNumber == aEnd.mRun.mNumber;
   const bool wasStopping = isTracked && run->mPhase == RunPhase::Stopping;
   const TimePoint startedAt = isTracked ? run->mLastOrderAt : TimePoint{};
+  const bool canLearn = aEnd.mEnd == RunEnd::Done && isTracked &&
+                        !wasStopping && !run->mIsOrphan && !run->mIsLearned;
+  const milliseconds runTime =
+    canLearn ? run->RunTimeAt(aWorker.mListedAtClock) : milliseconds(0);
   if (isTracked) {
     aWorker.Remove(id);
   }
@@ -270,6 +277,9 @@
     }
     return;
   }
+  if (runTime.count() > 0) {
+    LearnRunTime(aWorker, *job, id, runTime);
+  }
   if (!aEnd.mCheckpoint.empty()) {
     task->mCheckpoint = aEnd.mCheckpoint;
   }
@@ -310,6 +320,40 @@
   RequeueTask(*job, *task);
 }
 
+// A run that continues an earlier one does a part of the work only, and a
+// worker that warms up is slow for a time.
+void
+Coordinator::LearnRunTime(WorkerSession& aWorker,
+                          const DispatchJob& aJob,
+                          const TaskId& aTask,
+                          milliseconds aRunTime)
+{
+  const DispatchTask& task = aJob.mSteps[aTask.mStep][aTask.mIndex];
+  const bool isComparable =
+    task.mCheckpoint.empty() && aWorker.Report().mWarmUpRemainingMs == 0;
+  if (!mOptions.mLearnRunTimes || !isComparable) {
+    return;
+  }
+  const SpeedTier before = aWorker.mSpeed.mTier;
+  const bool hasMoved =
+    mRunTimes.Learn(aWorker,
+                    { aJob.mQueue, aTask.mStep, aJob.Step(aTask).mEstimateMs },
+                    aRunTime);
+  if (!hasMoved) {
+    return;
+  }
+  mIndex.OnRoomChanged(aWorker);
+  EventLine(mLog, "worker-tier")
+    .With("worker", aWorker.Report().mBoot.mId)
+    .With("tier", std::int64_t{ aWorker.mSpeed.mTier })
+    .With("tier_before", std::int64_t{ before })
+    .With("factor_percent",
+          std::int64_t{
+            std::lround(RunTimeModel::FactorOf(aWorker) * kHundredPercent) })
+    .With("run_ms", std::int64_t{ aRunTime.count() })
+    .With("estimate_ms", aJob.Step(aTask).mEstimateMs);
+}
+
 void
 Coordinator::ProcessRunning(WorkerSession& aWorker, const HoldResult& aLists)
 {
--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -69,6 +69,8 @@
   options.mHoldWait = aSettings.mMaxLease * 3 / 10;
   options.mWorkerExpiry =
     aSettings.mWorkerReportInterval * kMissedReportsUntilExpiry;
+  options.mLearnRunTimes = aSettings.mLearnRunTimes;
+  options.mSpreadFactor = aSettings.mSpreadFactor;
   options.mSeed = std::random_device{}();
   return options;
 }
--- a/Source/Dispatch/DispatchJob.cxx
+++ b/Source/Dispatch/DispatchJob.cxx
@@ -1,5 +1,6 @@
 #include "Dispatch/DispatchJob.h"
 
+#include <algorithm>
 #include <set>
 
 namespace almondspoke::dispatch {
@@ -26,6 +27,22 @@
   return { aPool, { labels.begin(), labels.end() } };
 }
 
+std::chrono::milliseconds
+LongestPathAfter(const JobSubmission& aJob, std::uint32_t aStep)
+{
+  using std::chrono::milliseconds;
+  std::vector<milliseconds> paths(aJob.mSteps.size());
+  // Steps depend on earlier ones only.
+  for (std::size_t step = aJob.mSteps.size(); step-- > aStep + 1;) {
+    const StepSpec& spec = aJob.mSteps[step];
+    for (const std::uint32_t before : spec.mDependsOn) {
+      paths[before] =
+        std::max(paths[before], paths[step] + milliseconds(spec.mEstimateMs));
+    }
+  }
+  return paths[aStep];
+}
+
 std::uint64_t
 DispatchJob::WaitingWork() const
 {
--- a/Source/Dispatch/DispatchJob.h
+++ b/Source/Dispatch/DispatchJob.h
@@ -130,6 +130,11 @@
   std::uint64_t WaitingWork() const;
 };
 
+/** Returns the longest chain of estimates of the steps that depend on a step.
+ */
+std::chrono::milliseconds
+LongestPathAfter(const JobSubmission& aJob, std::uint32_t aStep);
+
 /** \brief Sort key of the scheduler: priority, then the due time of the job,
  * then its arrival. */
 struct SchedulingKey
--- a/Source/Dispatch/WorkerIndex.cxx
+++ b/Source/Dispatch/WorkerIndex.cxx
@@ -74,6 +74,9 @@
   if (pool.mCapacity.Add(aWorker.Report().mCapacity)) {
     ++mCapacityVersion;
   }
+  if (mModel != nullptr) {
+    mModel->Add(aWorker);
+  }
   List(aWorker);
 }
 
@@ -93,6 +96,9 @@
   if (pool.mCapacity.Remove(aWorker.Report().mCapacity)) {
     ++mCapacityVersion;
   }
+  if (mModel != nullptr) {
+    mModel->Remove(aWorker);
+  }
 }
 
 bool
@@ -108,6 +114,9 @@
   ++mCapacityVersion;
   mPools.clear();
   mAside.clear();
+  if (mModel != nullptr) {
+    mModel->Clear();
+  }
 }
 
 void
@@ -166,6 +175,7 @@
 {
   Position& position = aWorker.mPosition;
   const WorkerReport& report = aWorker.Report();
+  position.mTier = aWorker.mSpeed.mTier;
   position.mIsCold = report.mWarmUpRemainingMs > 0;
   position.mFreeMilliCores = aWorker.Free().mMilliCores;
   PoolListings& pool = mPools[report.mPool];
@@ -267,8 +277,10 @@
 {
   const StepSpec& step = aSearch.mJob.Step(aSearch.mTask);
   Found found;
-  auto entry = aListing.lower_bound({ aIsCold, step.mNeeds.mMilliCores, 0 });
-  while (entry != aListing.end() && entry->first.mIsCold == aIsCold) {
+  auto entry = aListing.lower_bound(
+    { aSearch.mTier, aIsCold, step.mNeeds.mMilliCores, 0 });
+  while (entry != aListing.end() && entry->first.mIsCold == aIsCold &&
+         entry->first.mTier == aSearch.mTier) {
     WorkerSession& worker = *entry->second;
     ++entry;
     if (!CanTakeRuns(worker, aSearch.mNow)) {
@@ -301,10 +313,17 @@
                                 : WithLabel(pool, step.mRequiredLabel),
   };
   Search search{ aJob, aTask, aNow, aWindows };
-  for (DataCentreListings* listing : listings) {
-    for (const bool isCold : { false, true }) {
+  const TierOrder tiers = TiersFor(aJob, aTask, aNow);
+  // A late place near the data is worth less than one elsewhere that is in
+  // time.
+  const std::array<TierRange, 2> ranges = {
+    TierRange{ tiers.begin(), tiers.InTimeEnd() },
+    TierRange{ tiers.InTimeEnd(), tiers.end() },
+  };
+  for (const TierRange& range : ranges) {
+    for (DataCentreListings* listing : listings) {
       WorkerSession* worker =
-        listing == nullptr ? nullptr : FindIn(*listing, isCold, search);
+        listing == nullptr ? nullptr : FindIn(*listing, range, search);
       if (worker != nullptr) {
         return worker;
       }
@@ -313,4 +332,42 @@
   return search.mAvoided;
 }
 
+WorkerSession*
+WorkerIndex::FindIn(DataCentreListings& aListings,
+                    const TierRange& aTiers,
+                    Search& aSearch)
+{
+  for (const bool isCold : { false, true }) {
+    for (const SpeedTier* tier = aTiers.first; tier != aTiers.second; ++tier) {
+      aSearch.mTier = *tier;
+      WorkerSession* worker = FindIn(aListings, isCold, aSearch);
+      if (worker != nullptr) {
+        return worker;
+      }
+    }
+  }
+  return nullptr;
+}
+
+TierOrder
+WorkerIndex::TiersFor(const DispatchJob& aJob,
+                      const TaskId& aTask,
+                      TimePoint aNow) const
+{
+  const PoolSpeed* pool =
+    mModel == nullptr ? nullptr : mModel->FindPool(aJob.mQueue.mPool);
+  if (pool == nullptr) {
+    return TierOrder();
+  }
+  if (const auto only = pool->OnlyTier()) {
+    return TierOrder(*only);
+  }
+  const RunTimeModel::Work work{ aJob.mQueue,
+                                 aTask.mStep,
+                                 aJob.Step(aTask).mEstimateMs };
+  const auto timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aJob.mDueAt - aNow - LongestPathAfter(aJob.mSubmission, aTask.mStep));
+  return TierOrder(*pool, mModel->ExpectedByTier(*pool, work), timeLeft);
+}
+
 }
--- a/Source/Dispatch/WorkerIndex.h
+++ b/Source/Dispatch/WorkerIndex.h
@@ -6,10 +6,13 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 
 #include "Dispatch/DispatchJob.h"
 #include "Dispatch/LargestCapacity.h"
+#include "Dispatch/RunTimeModel.h"
 #include "Dispatch/StartWindow.h"
+#include "Dispatch/TierOrder.h"
 #include "Dispatch/WorkerSession.h"
 
 namespace almondspoke::dispatch {
@@ -22,9 +25,13 @@
  * first, and a worker on which an earlier run of the task did not succeed is
  * chosen only if there is no other.
  *
+ * With a RunTimeModel, a task looks for a place in one tier of speed after the
+ * other, in the order of TierOrder. Where all workers are in one tier, the
+ * choices are those without a model.
+ *
  * The workers of a pool are listed by data centre, so that those of one to
  * which no further order may be given cost nothing, and there in the order of
- * their free CPU. A worker
+ * their tier and free CPU. A worker
  * that a search finds unable to take any run, for example since it drains, is
  * set aside until its free resources change, Readmit() or ReadmitAll(). */
 class WorkerIndex : public RoomListener
@@ -32,6 +39,13 @@
 public:
   using TimePoint = Clock::Monotonic;
 
+  /** \param aModel learns the speed of the workers that are listed here; null
+   * for none */
+  explicit WorkerIndex(RunTimeModel* aModel = nullptr)
+    : mModel(aModel)
+  {
+  }
+
   /** Lists a worker; it must be removed before its session ends, and before a
    * change of what AffectsOrder() compares. */
   void Add(WorkerSession& aWorker);
@@ -69,8 +83,15 @@
   {
     bool operator()(const Position& aLeft, const Position& aRight) const
     {
-      return std::tie(aLeft.mIsCold, aLeft.mFreeMilliCores, aLeft.mNumber) <
-             std::tie(aRight.mIsCold, aRight.mFreeMilliCores, aRight.mNumber);
+      return Tied(aLeft) < Tied(aRight);
+    }
+    static std::tuple<SpeedTier, bool, std::uint32_t, std::uint64_t> Tied(
+      const Position& aPosition)
+    {
+      return { aPosition.mTier,
+               aPosition.mIsCold,
+               aPosition.mFreeMilliCores,
+               aPosition.mNumber };
     }
   };
   using Listing = std::map<Position, WorkerSession*, Order>;
@@ -93,6 +114,7 @@
     const TaskId& mTask;
     TimePoint mNow;
     const StartWindows& mWindows;
+    SpeedTier mTier = 0;
     /** Best worker among those on which the task did not succeed before. */
     WorkerSession* mAvoided = nullptr;
   };
@@ -115,11 +137,21 @@
                                        const std::string& aLabel);
   /** Returns the better one of two workers, either of which may be null. */
   static WorkerSession* BetterOf(WorkerSession* aLeft, WorkerSession* aRight);
+  /** Returns the tiers of a pool in the order in which a task tries them. */
+  TierOrder TiersFor(const DispatchJob& aJob,
+                     const TaskId& aTask,
+                     TimePoint aNow) const;
   WorkerSession* FindIn(DataCentreListings& aListings,
                         bool aIsCold,
                         Search& aSearch);
+  /** Tiers that are tried one after the other. */
+  using TierRange = std::pair<const SpeedTier*, const SpeedTier*>;
+  WorkerSession* FindIn(DataCentreListings& aListings,
+                        const TierRange& aTiers,
+                        Search& aSearch);
   Found FindIn(Listing& aListing, bool aIsCold, const Search& aSearch);
 
+  RunTimeModel* mModel;
   std::map<PoolName, PoolListings> mPools;
   /** Workers that cannot take runs, by number. */
   std::map<std::uint64_t, WorkerSession*> mAside;
--- a/Source/Dispatch/WorkerSession.cxx
+++ b/Source/Dispatch/WorkerSession.cxx
@@ -29,7 +29,7 @@
                              WorkerReport aReport,
                              TimePoint aNow,
                              std::chrono::milliseconds aMaxLease)
-  : mPosition{ false, 0, aNumber }
+  : mPosition{ 0, false, 0, aNumber }
   , mLastReport(aNow)
   , mReport(std::move(aReport))
   , mMaxLease(aMaxLease)
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -9,6 +9,7 @@
 #include "Base/Clock.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Dispatch/WorkerHealth.h"
+#include "Dispatch/WorkerSpeed.h"
 
 namespace almondspoke::dispatch {
 
@@ -69,6 +70,18 @@
     return std::chrono::milliseconds(
       mConfirmedClock > 0 ? mProgressClock - mConfirmedClock : 0);
   }
+  /** True once a RunTimeModel has learned from the run. */
+  bool mIsLearned = false;
+
+  /** Returns how long the run has taken when the worker's clock showed a time;
+   * zero if its start is not known, as for a run that this leader has found. */
+  std::chrono::milliseconds RunTimeAt(WorkerTime aClock) const
+  {
+    return std::chrono::milliseconds(mMinClockAtStart > 0 &&
+                                         mConfirmedClock > 0 && !mIsInherited
+                                       ? aClock - mConfirmedClock
+                                       : 0);
+  }
   /** Records that the worker had the run when its clock showed a time. */
   void Confirm(WorkerTime aClock)
   {
@@ -96,6 +109,7 @@
   /** \brief A worker's place in the lists of the WorkerIndex, which sets it. */
   struct IndexPosition
   {
+    SpeedTier mTier = 0;
     bool mIsCold = false;
     std::uint32_t mFreeMilliCores = 0;
     /** Number of the session; different for each session of a leader. */
@@ -237,6 +251,11 @@
   /** Time at which the first of the current orphans was found. */
   TimePoint mFirstOrphanAt{};
   WorkerHealth mHealth;
+  /** Set by the RunTimeModel. */
+  WorkerSpeed mSpeed;
+  /** What the worker's clock showed when it made the list that is processed;
+   * zero if earlier orders for a list were not answered. */
+  WorkerTime mListedAtClock = 0;
   TimePoint mLastReport{};
 
 private:
--- a/Tests/Dispatch/ScriptedLeader.h
+++ b/Tests/Dispatch/ScriptedLeader.h
@@ -73,9 +73,9 @@
 public:
   using Milliseconds = std::chrono::milliseconds;
 
-  ScriptedLeader()
+  explicit ScriptedLeader(dispatch::CoordinatorOptions aOptions = {})
     : mLog(mClock, mSink)
-    , mCoordinator({}, mClock, mOrders, *this, *this, mLog)
+    , mCoordinator(aOptions, mClock, mOrders, *this, *this, mLog)
   {
     dispatch::Manifest manifest;
     manifest.mVersion = 1;
@@ -155,9 +155,10 @@
   /** Answers the oldest hold order with lists that were made when the worker's
    * clock showed a time. */
   void AnswerHoldOf(dispatch::WorkerTime aClock,
-                    std::vector<dispatch::ActiveRun> aRunning)
+                    std::vector<dispatch::ActiveRun> aRunning,
+                    std::vector<dispatch::EndedRun> aEnded = {})
   {
-    AnswerHoldAs(0, aClock, std::move(aRunning), {});
+    AnswerHoldAs(0, aClock, std::move(aRunning), std::move(aEnded));
   }
   /** Answers the latest hold order with empty lists. */
   void AnswerLastHold()
