Dispatch: Judges stragglers by their worker and by what a stop can gain

Runs on slow workers and runs of the tail were stopped although a new start ended no earlier. With learn-run-times, StragglerRule compares a run with the expected time at its own worker, and what remains of it with a new start at the fastest workers. Whether the tasks of stopped runs are themselves long is learned for each queue and step. A run far over its expected time teaches once, before its end.

--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -27,6 +27,7 @@
 #include "Dispatch/ReadyQueue.h"
 #include "Dispatch/RunTimeModel.h"
 #include "Dispatch/StartWindow.h"
+#include "Dispatch/StragglerRule.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Dispatch/WorkerIndex.h"
 #include "Dispatch/WorkerSession.h"
@@ -103,6 +104,7 @@
   std::uint64_t mRunsFailed = 0;
   std::uint64_t mRunsLost = 0;
   std::uint64_t mStragglers = 0;
+  std::uint64_t mStragglersLeft = 0;
 };
 
 /** \brief Latency distributions since a Coordinator was created: total time of
@@ -312,6 +314,18 @@
   void OnFenced(WorkerSession& aWorker);
   void RetryStops(WorkerSession& aWorker);
   void StopStragglers(WorkerSession& aWorker, TimePoint aNow);
+  /** Judges a run by the RunTimeModel. */
+  bool IsStragglerByModel(const WorkerSession& aWorker,
+                          const DispatchJob& aJob,
+                          const TaskId& aTask,
+                          TrackedRun& aRun,
+                          TimePoint aNow);
+  /** Learns from a run that has taken so long that its end would add nothing.
+   */
+  void LearnOverrun(WorkerSession& aWorker,
+                    const DispatchJob& aJob,
+                    const TaskId& aTask,
+                    TrackedRun& aRun);
   bool IsStraggler(const DispatchJob& aJob,
                    const TaskId& aTask,
                    const TrackedRun& aRun,
--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -335,10 +335,11 @@
     return;
   }
   const SpeedTier before = aWorker.mSpeed.mTier;
-  const bool hasMoved =
-    mRunTimes.Learn(aWorker,
-                    { aJob.mQueue, aTask.mStep, aJob.Step(aTask).mEstimateMs },
-                    aRunTime);
+  const RunTimeModel::Work work = WorkOf(aJob, aTask);
+  if (task.mStragglerCount > 0) {
+    mRunTimes.LearnStop(work, !mRunTimes.IsAtBound(aWorker, work, aRunTime));
+  }
+  const bool hasMoved = mRunTimes.Learn(aWorker, work, aRunTime);
   if (!hasMoved) {
     return;
   }
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -120,16 +120,27 @@
     aJob.mState = JobState::Running;
   }
   ++mCounters.mStarts;
-  EventLine(mLog, "run-ordered")
-    .With("job", aTask.mJob)
-    .With("step", aTask.mStep)
-    .With("task", aTask.mIndex)
-    .With("run", run.mNumber)
-    .With("worker", task.mWorker)
-    .With("waited_ms",
-          std::int64_t{
-            duration_cast<milliseconds>(now - aJob.mArrivedAt).count() })
-    .With("free_mcores", aWorker.Free().mMilliCores);
+  {
+    EventLine line(mLog, "run-ordered");
+    line.With("job", aTask.mJob)
+      .With("step", aTask.mStep)
+      .With("task", aTask.mIndex)
+      .With("run", run.mNumber)
+      .With("worker", task.mWorker)
+      .With("waited_ms",
+            std::int64_t{
+              duration_cast<milliseconds>(now - aJob.mArrivedAt).count() })
+      .With("free_mcores", aWorker.Free().mMilliCores);
+    if (RunTimeModel::HasTiers(aWorker)) {
+      const milliseconds expected =
+        mRunTimes.ExpectedAt(aWorker, WorkOf(aJob, aTask));
+      line.With("tier", int{ aWorker.mSpeed.mTier })
+        .With("expected_ms", std::int64_t{ expected.count() })
+        .With("due_in_ms",
+              std::int64_t{
+                duration_cast<milliseconds>(aJob.mDueAt - now).count() });
+    }
+  }
   mFlow.OnOrdered(order.mTarget.mDataCentre);
   mWindows.OnOrdered(order.mTarget.mDataCentre, now);
   mCalls.Start(
@@ -405,6 +416,67 @@
          remaining > expected + kMinObservedTime;
 }
 
+bool
+Coordinator::IsStragglerByModel(const WorkerSession& aWorker,
+                                const DispatchJob& aJob,
+                                const TaskId& aTask,
+                                TrackedRun& aRun,
+                                TimePoint aNow)
+{
+  const DispatchTask& task = aJob.mSteps[aTask.mStep][aTask.mIndex];
+  if (aRun.mPhase != RunPhase::Running || aRun.mIsOrphan ||
+      task.mStragglerCount >= kMaxStragglersPerTask) {
+    return false;
+  }
+  const RunTimeModel::Work work = WorkOf(aJob, aTask);
+  const milliseconds measured = aJob.mLongestRunDurations[aTask.mStep];
+  StragglerRule::Run run;
+  run.mObserved = aRun.ObservedTime();
+  run.mPercent = aRun.mPercent;
+  run.mSinceReport =
+    duration_cast<milliseconds>(aNow - aRun.mProgressReportedAt);
+  run.mExpectedHere = std::max(measured, mRunTimes.ExpectedAt(aWorker, work));
+  run.mExpectedElsewhere =
+    std::max(measured, mRunTimes.ExpectedAtFastest(aWorker, work));
+  run.mShareOfGains = mRunTimes.ShareOfGains(work);
+  const StragglerRule::Verdict verdict = StragglerRule::Judge(run);
+  if (verdict != StragglerRule::Verdict::NoGain || aRun.mIsLeft) {
+    return verdict == StragglerRule::Verdict::Stop;
+  }
+  aRun.mIsLeft = true;
+  ++mCounters.mStragglersLeft;
+  mRunTimes.LearnNoStop(work);
+  EventLine(mLog, "run-slow-left")
+    .With("job", aTask.mJob)
+    .With("step", aTask.mStep)
+    .With("task", aTask.mIndex)
+    .With("run", aRun.mNumber)
+    .With("worker", aWorker.Report().mBoot.mId)
+    .With("ran_ms", std::int64_t{ run.mObserved.count() })
+    .With("percent", run.mPercent)
+    .With("expected_ms", std::int64_t{ run.mExpectedHere.count() })
+    .With("restart_ms",
+          std::int64_t{ StragglerRule::RestartTime(run).count() });
+  return false;
+}
+
+void
+Coordinator::LearnOverrun(WorkerSession& aWorker,
+                          const DispatchJob& aJob,
+                          const TaskId& aTask,
+                          TrackedRun& aRun)
+{
+  const milliseconds runTime = aRun.RunTimeAt(aRun.mProgressClock);
+  const bool canLearn = mOptions.mLearnRunTimes && !aRun.mIsLearned &&
+                        aRun.mPhase == RunPhase::Running && !aRun.mIsOrphan;
+  if (!canLearn ||
+      !mRunTimes.IsAtBound(aWorker, WorkOf(aJob, aTask), runTime)) {
+    return;
+  }
+  aRun.mIsLearned = true;
+  LearnRunTime(aWorker, aJob, aTask, runTime);
+}
+
 void
 Coordinator::StopStragglers(WorkerSession& aWorker, TimePoint aNow)
 {
@@ -413,7 +485,16 @@
   }
   for (auto& [task, run] : aWorker.Runs()) {
     DispatchJob* job = FindJob(task.mJob);
-    if (job == nullptr || !IsStraggler(*job, task, run, aNow)) {
+    if (job == nullptr || job->Task(task) == nullptr) {
+      continue;
+    }
+    LearnOverrun(aWorker, *job, task, run);
+    const bool isByModel =
+      mOptions.mLearnRunTimes && mRunTimes.IsKnown(WorkOf(*job, task));
+    const bool isStraggler =
+      isByModel ? IsStragglerByModel(aWorker, *job, task, run, aNow)
+                : IsStraggler(*job, task, run, aNow);
+    if (!isStraggler) {
       continue;
     }
     ++mCounters.mStragglers;
--- a/Source/Dispatch/DispatchMetrics.cxx
+++ b/Source/Dispatch/DispatchMetrics.cxx
@@ -23,7 +23,7 @@
   std::uint64_t Counters::*mCount;
 };
 
-constexpr std::array<CounterRow<CoordinatorCounters>, 13>
+constexpr std::array<CounterRow<CoordinatorCounters>, 14>
   kCoordinatorCounters = { {
     { "almondspoke_dispatch_jobs_accepted_total",
       "Jobs that this leader took",
@@ -64,6 +64,9 @@
     { "almondspoke_dispatch_runs_too_slow_total",
       "Runs that were stopped to be repeated elsewhere",
       &CoordinatorCounters::mStragglers },
+    { "almondspoke_dispatch_runs_slow_left_total",
+      "Slow runs that were not stopped, since a new start would gain nothing",
+      &CoordinatorCounters::mStragglersLeft },
   } };
 
 constexpr std::array<CounterRow<RelayCounters>, 4> kRelayCounters = { {
--- a/Source/Dispatch/RunTimeModel.cxx
+++ b/Source/Dispatch/RunTimeModel.cxx
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace almondspoke::dispatch {
 
@@ -43,6 +44,11 @@
 /** Steps of a queue that are told apart; later ones count as the last. */
 constexpr std::uint32_t kMaxSteps = 16;
 
+/** Part by which the share of gains follows each stop, and by which it returns
+ * to 1 with each slow run that is not stopped. */
+constexpr double kStopGain = 0.1;
+constexpr double kForgottenStops = 0.005;
+
 /** Kinds without workers are kept up to this number of all kinds. */
 constexpr std::size_t kMaxKeptKinds = 4096;
 
@@ -154,14 +160,81 @@
   mQueues.clear();
 }
 
-double
-RunTimeModel::LogFactorOf(const Work& aWork, const PoolSpeed& aPool) const
+const RunTimeModel::QueueSpeed*
+RunTimeModel::Find(const Work& aWork) const
 {
   const auto queue = mQueues.find(aWork.mQueue.mName);
   const std::uint32_t step = StepIndexOf(aWork.mStep);
   const bool isKnown = queue != mQueues.end() && step < queue->second.size() &&
                        queue->second[step].mRuns > 0;
-  return isKnown ? queue->second[step].mLogFactor : -aPool.Mean();
+  return isKnown ? &queue->second[step] : nullptr;
+}
+
+RunTimeModel::QueueSpeed*
+RunTimeModel::Find(const Work& aWork)
+{
+  return const_cast<QueueSpeed*>(std::as_const(*this).Find(aWork));
+}
+
+double
+RunTimeModel::LogFactorOf(const Work& aWork, const PoolSpeed& aPool) const
+{
+  const QueueSpeed* queue = Find(aWork);
+  return queue == nullptr ? -aPool.Mean() : queue->mLogFactor;
+}
+
+bool
+RunTimeModel::IsKnown(const Work& aWork) const
+{
+  const QueueSpeed* queue = Find(aWork);
+  return queue != nullptr && queue->mRuns > kRunsBeforeWorkers;
+}
+
+double
+RunTimeModel::ShareOfGains(const Work& aWork) const
+{
+  const QueueSpeed* queue = Find(aWork);
+  return queue == nullptr ? 1 : queue->mShareOfGains;
+}
+
+void
+RunTimeModel::LearnStop(const Work& aWork, bool aHasGained)
+{
+  if (QueueSpeed* queue = Find(aWork)) {
+    queue->mShareOfGains +=
+      ((aHasGained ? 1 : 0) - queue->mShareOfGains) * kStopGain;
+  }
+}
+
+void
+RunTimeModel::LearnNoStop(const Work& aWork)
+{
+  if (QueueSpeed* queue = Find(aWork)) {
+    queue->mShareOfGains += (1 - queue->mShareOfGains) * kForgottenStops;
+  }
+}
+
+bool
+RunTimeModel::HasTiers(const WorkerSession& aWorker)
+{
+  const KindSpeed* kind = aWorker.mSpeed.mKind;
+  return kind != nullptr && !kind->mPool->OnlyTier();
+}
+
+RunTimeModel::Milliseconds
+RunTimeModel::ExpectedAtFastest(const WorkerSession& aWorkerOfPool,
+                                const Work& aWork) const
+{
+  const Milliseconds here = ExpectedAt(aWorkerOfPool, aWork);
+  if (aWorkerOfPool.mSpeed.mKind == nullptr) {
+    return here;
+  }
+  const auto byTier = ExpectedByTier(*aWorkerOfPool.mSpeed.mKind->mPool, aWork);
+  const auto fastest =
+    std::find_if(byTier.begin(), byTier.end(), [](Milliseconds aExpected) {
+      return aExpected.count() > 0;
+    });
+  return fastest == byTier.end() ? here : std::min(here, *fastest);
 }
 
 RunTimeModel::QueueSpeed&
--- a/Source/Dispatch/RunTimeModel.h
+++ b/Source/Dispatch/RunTimeModel.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "Dispatch/DispatchJob.h"
 #include "Dispatch/Manifest.h"
 #include "Dispatch/WorkerSession.h"
 #include "Dispatch/WorkerSpeed.h"
@@ -64,6 +65,25 @@
   std::array<Milliseconds, kSpeedTiers> ExpectedByTier(const PoolSpeed& aPool,
                                                        const Work& aWork) const;
 
+  /** Returns whether the workers of the pool of a worker are in several tiers.
+   */
+  static bool HasTiers(const WorkerSession& aWorker);
+  /** Returns whether the run times of a queue and step have been learned. */
+  bool IsKnown(const Work& aWork) const;
+  /** Returns the expected run time at the fastest workers of a pool. */
+  Milliseconds ExpectedAtFastest(const WorkerSession& aWorkerOfPool,
+                                 const Work& aWork) const;
+
+  /** Returns the share of the stopped runs of a queue and step whose task ran
+   * as expected at the next start. */
+  double ShareOfGains(const Work& aWork) const;
+  /** Records whether the task of a stopped run ran as expected at the next
+   * start. */
+  void LearnStop(const Work& aWork, bool aHasGained);
+  /** Records that a slow run was not stopped, since the share is too low. The
+   * share rises a little, so that a stop is tried again now and then. */
+  void LearnNoStop(const Work& aWork);
+
   /** Returns the speeds of a pool, or null if it has no worker. */
   const PoolSpeed* FindPool(const PoolName& aPool) const;
   /** Returns the number of workers of all pools in a tier. */
@@ -74,10 +94,13 @@
   {
     std::uint32_t mRuns = 0;
     double mLogFactor = 0;
+    double mShareOfGains = 1;
   };
 
   static void MoveKind(KindSpeed& aKind, double aBy);
   static bool UpdateTier(WorkerSession& aWorker);
+  const QueueSpeed* Find(const Work& aWork) const;
+  QueueSpeed* Find(const Work& aWork);
   double LogFactorOf(const Work& aWork, const PoolSpeed& aPool) const;
   double Residual(const WorkerSession& aWorker,
                   const Work& aWork,
@@ -91,4 +114,11 @@
   std::unordered_map<QueueName, std::vector<QueueSpeed>> mQueues;
 };
 
+/** Returns which task is run. */
+inline RunTimeModel::Work
+WorkOf(const DispatchJob& aJob, const TaskId& aTask)
+{
+  return { aJob.mQueue, aTask.mStep, aJob.Step(aTask).mEstimateMs };
+}
+
 }
--- a/Source/Dispatch/WorkerIndex.cxx
+++ b/Source/Dispatch/WorkerIndex.cxx
@@ -362,12 +362,10 @@
   if (const auto only = pool->OnlyTier()) {
     return TierOrder(*only);
   }
-  const RunTimeModel::Work work{ aJob.mQueue,
-                                 aTask.mStep,
-                                 aJob.Step(aTask).mEstimateMs };
   const auto timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
     aJob.mDueAt - aNow - LongestPathAfter(aJob.mSubmission, aTask.mStep));
-  return TierOrder(*pool, mModel->ExpectedByTier(*pool, work), timeLeft);
+  return TierOrder(
+    *pool, mModel->ExpectedByTier(*pool, WorkOf(aJob, aTask)), timeLeft);
 }
 
 }
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -72,6 +72,9 @@
   }
   /** True once a RunTimeModel has learned from the run. */
   bool mIsLearned = false;
+  /** True once the run was found slow and left, since a new start would gain
+   * nothing. */
+  bool mIsLeft = false;
 
   /** Returns how long the run has taken when the worker's clock showed a time;
    * zero if its start is not known, as for a run that this leader has found. */
