Dispatch: Lets a job wait for a faster tier or for the rack of its data

A long job that found room only on a slow worker was started there and late, although a fast worker became free soon after. PlacementWait decides from the expected run times and from how often runs end at the better place whether the job waits, and how long at most. The wait ends before the job would be refused for having waited. Racks count with spread-factor above 1. Both need learn-run-times.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -79,6 +79,8 @@
   , mRandom(aOptions.mSeed)
   , mOrderTimeouts(aOptions.mMaxOrderTimeout)
   , mFlow(aLog)
+  , mRunTimes(aOptions.mSpreadFactor)
+  , mPlacementWaits(mRunTimes, aLog)
   , mIndex(aOptions.mLearnRunTimes ? &mRunTimes : nullptr)
 {
 }
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -24,6 +24,7 @@
 #include "Dispatch/OrderFlow.h"
 #include "Dispatch/OrderTimeoutEstimator.h"
 #include "Dispatch/OverloadDetector.h"
+#include "Dispatch/PlacementWaits.h"
 #include "Dispatch/ReadyQueue.h"
 #include "Dispatch/RunTimeModel.h"
 #include "Dispatch/StartWindow.h"
@@ -205,6 +206,10 @@
   const CoordinatorLatencies& Latencies() const { return mLatencies; }
   const WorkerSessions& Workers() const { return mWorkers; }
   const RunTimeModel& RunTimes() const { return mRunTimes; }
+  const PlacementWaitCounters& PlacementWaitsTaken() const
+  {
+    return mPlacementWaits.Counters();
+  }
   std::size_t OpenJobs() const;
   std::size_t AssignedRuns() const;
 
@@ -440,6 +445,7 @@
   std::shared_ptr<const Manifest> mManifest;
   WorkerSessions mWorkers;
   RunTimeModel mRunTimes;
+  PlacementWaits mPlacementWaits;
   WorkerIndex mIndex;
   StartWindows mWindows;
   WorkerTimers mTimers;
--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -261,6 +261,7 @@
   if (!MaySchedule()) {
     return;
   }
+  mPlacementWaits.BeginPass();
   UnplacedNeeds unplaced;
   SchedulingPass pass(mReady);
   while (DispatchJob* job = mWindows.MayStart() ? pass.Next() : nullptr) {
@@ -276,6 +277,7 @@
   if (!MaySchedule()) {
     return;
   }
+  mPlacementWaits.BeginPass();
   UnplacedNeeds unplaced;
   const ReadyQueue::Jobs& jobs = mReady.InOrder();
   auto entry = jobs.upper_bound(mLastTriedInTurn);
@@ -317,6 +319,9 @@
         }
         break;
       }
+      if (mPlacementWaits.MustWait(aJob, task, *worker, now)) {
+        break;
+      }
       StartRun(aJob, task, *worker);
     }
   }
--- a/Source/Dispatch/DispatchJob.h
+++ b/Source/Dispatch/DispatchJob.h
@@ -11,6 +11,7 @@
 #include "Dispatch/JobMessages.h"
 #include "Dispatch/Manifest.h"
 #include "Dispatch/WorkerCalls.h"
+#include "Dispatch/WorkerSpeed.h"
 
 namespace almondspoke::dispatch {
 
@@ -66,6 +67,13 @@
 PlacementClass
 PlacementClassOf(const PoolName& aPool, const std::vector<StepSpec>& aSteps);
 
+/** \brief Since when a job waits for a better place, and for which tier. */
+struct PlacementWaitOfJob
+{
+  Clock::Monotonic mSince{};
+  SpeedTier mTier = 0;
+};
+
 /** \brief A job known to the leader, with its tasks and waiting calls. */
 struct DispatchJob
 {
@@ -102,6 +110,8 @@
   std::size_t mAssignedTaskCount = 0;
   /** Duration of the longest successful run of each step, or zero. */
   std::vector<std::chrono::milliseconds> mLongestRunDurations;
+  /** Set while the job waits although a worker was found. */
+  std::optional<PlacementWaitOfJob> mPlacementWait;
   /** Work that the ReadyQueue has counted for the job. */
   std::uint64_t mCountedWork = 0;
   /** Time up to which the job may wait in the ReadyQueue. */
--- a/Source/Dispatch/DispatchMetrics.cxx
+++ b/Source/Dispatch/DispatchMetrics.cxx
@@ -69,6 +69,19 @@
       &CoordinatorCounters::mStragglersLeft },
   } };
 
+constexpr std::array<CounterRow<PlacementWaitCounters>, 3>
+  kPlacementWaitCounters = { {
+    { "almondspoke_dispatch_placement_waits_total",
+      "Jobs that waited for a better place although a worker was found",
+      &PlacementWaitCounters::mBegun },
+    { "almondspoke_dispatch_placement_waits_ended_by_room_total",
+      "Waits that ended at the better place",
+      &PlacementWaitCounters::mEndedByRoom },
+    { "almondspoke_dispatch_placement_waits_ended_by_time_total",
+      "Waits that ended elsewhere, since nothing more was to be gained",
+      &PlacementWaitCounters::mEndedByTime },
+  } };
+
 constexpr std::array<CounterRow<RelayCounters>, 4> kRelayCounters = { {
   { "almondspoke_dispatch_orders_relayed_total",
     "Orders that other coordinators sent for this leader",
@@ -175,6 +188,24 @@
   return family;
 }
 
+MetricFamily
+WorkersByTier(const RunTimeModel& aModel)
+{
+  MetricFamily family =
+    FamilyOf("almondspoke_dispatch_workers_by_tier",
+             "Workers by tier of speed: 0 near the mean of the pool, negative "
+             "for faster ones; none unless run times are learned",
+             MetricType::Gauge);
+  family.metric.clear();
+  for (SpeedTier tier = -kMaxSpeedTier; tier <= kMaxSpeedTier; ++tier) {
+    ClientMetric metric;
+    metric.label.push_back({ "tier", std::to_string(tier) });
+    metric.gauge.value = static_cast<double>(aModel.WorkersIn(tier));
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
 template<typename Counters, std::size_t Size>
 void
 AddCounters(const std::array<CounterRow<Counters>, Size>& aRows,
@@ -275,6 +306,9 @@
   aFamilies.push_back(Gauge("almondspoke_dispatch_workers_usable",
                             "Workers on which the leader may start runs",
                             static_cast<double>(usable)));
+  aFamilies.push_back(WorkersByTier(coordinator.RunTimes()));
+  AddCounters(
+    kPlacementWaitCounters, coordinator.PlacementWaitsTaken(), aFamilies);
   aFamilies.push_back(Gauge("almondspoke_dispatch_jobs_open",
                             "Jobs that have not ended",
                             static_cast<double>(coordinator.OpenJobs())));
--- a/Source/Dispatch/RunTimeModel.cxx
+++ b/Source/Dispatch/RunTimeModel.cxx
@@ -52,6 +52,9 @@
 /** Kinds without workers are kept up to this number of all kinds. */
 constexpr std::size_t kMaxKeptKinds = 4096;
 
+/** Number of racks whose ends are counted. */
+constexpr std::size_t kMaxRacks = 4096;
+
 /** Number of queues that are learned. */
 constexpr std::size_t kMaxQueues = 4096;
 
@@ -100,12 +103,17 @@
 }
 
 RunTimeModel::Milliseconds
-Scaled(std::uint32_t aEstimateMs, double aLogFactor)
+Scaled(std::int64_t aMilliseconds, double aLogFactor)
 {
   return RunTimeModel::Milliseconds(
-    std::llround(aEstimateMs * std::exp(aLogFactor)));
+    std::llround(static_cast<double>(aMilliseconds) * std::exp(aLogFactor)));
+}
+
 }
 
+RunTimeModel::RunTimeModel(double aSpreadFactor)
+  : mLogSpreadFactor(std::log(aSpreadFactor))
+{
 }
 
 void
@@ -158,6 +166,47 @@
   mPools.clear();
   mKinds.clear();
   mQueues.clear();
+  mRacks.clear();
+}
+
+void
+RunTimeModel::OnEnd(const WorkerSession& aWorker, Clock::Monotonic aNow)
+{
+  const KindSpeed* kind = aWorker.mSpeed.mKind;
+  if (kind == nullptr) {
+    return;
+  }
+  kind->mPool->At(aWorker.mSpeed.mTier).mEnds.OnEnd(aNow);
+  if (mRacks.empty()) {
+    return;
+  }
+  for (const std::string& label : aWorker.Report().mLabels) {
+    const auto rack = mRacks.find({ aWorker.Report().mPool, label });
+    if (rack != mRacks.end()) {
+      rack->second.OnEnd(aNow);
+    }
+  }
+}
+
+const EndRate*
+RunTimeModel::EndsAtRack(const PoolName& aPool, const std::string& aRack)
+{
+  const auto rack = mRacks.find({ aPool, aRack });
+  if (rack != mRacks.end()) {
+    return &rack->second;
+  }
+  return mRacks.size() < kMaxRacks ? &mRacks[{ aPool, aRack }] : nullptr;
+}
+
+bool
+RunTimeModel::IsOffRack(const WorkerSession& aWorker, const Work& aWork)
+{
+  if (aWork.mDataRack == nullptr || aWork.mDataRack->empty()) {
+    return false;
+  }
+  const std::vector<std::string>& labels = aWorker.Report().mLabels;
+  return std::find(labels.begin(), labels.end(), *aWork.mDataRack) ==
+         labels.end();
 }
 
 const RunTimeModel::QueueSpeed*
@@ -260,7 +309,8 @@
   const double ratio =
     static_cast<double>(aRunTime.count()) / aWork.mEstimateMs;
   return std::log(ratio) - LogFactorOf(aWork, pool) -
-         aWorker.mSpeed.LogFactor();
+         aWorker.mSpeed.LogFactor() -
+         (IsOffRack(aWorker, aWork) ? mLogSpreadFactor : 0);
 }
 
 bool
@@ -357,6 +407,15 @@
 
 RunTimeModel::Milliseconds
 RunTimeModel::ExpectedAt(const WorkerSession& aWorker, const Work& aWork) const
+{
+  const bool isOffRack = IsOffRack(aWorker, aWork);
+  const Milliseconds onRack = ExpectedOnRack(aWorker, aWork);
+  return isOffRack ? Scaled(onRack.count(), mLogSpreadFactor) : onRack;
+}
+
+RunTimeModel::Milliseconds
+RunTimeModel::ExpectedOnRack(const WorkerSession& aWorker,
+                             const Work& aWork) const
 {
   const WorkerSpeed& speed = aWorker.mSpeed;
   if (speed.mKind == nullptr) {
--- a/Source/Dispatch/RunTimeModel.h
+++ b/Source/Dispatch/RunTimeModel.h
@@ -3,8 +3,10 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "Dispatch/DispatchJob.h"
@@ -36,8 +38,14 @@
     const Queue& mQueue;
     std::uint32_t mStep;
     std::uint32_t mEstimateMs;
+    /** Rack on which the task runs faster; null or empty for none. */
+    const std::string* mDataRack = nullptr;
   };
 
+  /** \param aSpreadFactor run time of a task off the rack of its data, relative
+   * to that on it */
+  explicit RunTimeModel(double aSpreadFactor = 1.0);
+
   /** Adds a worker, with the factor of its kind unless it has an own one. It
    * must be removed before its session ends and before its pool or its labels
    * change. */
@@ -55,6 +63,19 @@
                  const Work& aWork,
                  Milliseconds aRunTime) const;
 
+  /** Records that a run has ended at a worker. */
+  void OnEnd(const WorkerSession& aWorker, Clock::Monotonic aNow);
+  /** Returns how often runs end at a rack whose label tasks have named; null if
+   * that is not known. */
+  const EndRate* EndsAtRack(const PoolName& aPool, const std::string& aRack);
+  bool HasSpreadFactor() const { return mLogSpreadFactor > 0; }
+  /** Returns whether a worker is not on the rack of the data of a task. */
+  static bool IsOffRack(const WorkerSession& aWorker, const Work& aWork);
+  /** Returns the expected run time at a worker of a speed on the rack of the
+   * data. */
+  Milliseconds ExpectedOnRack(const WorkerSession& aWorker,
+                              const Work& aWork) const;
+
   /** Returns the factor of a worker; 1 is the mean of its pool. */
   static double FactorOf(const WorkerSession& aWorker);
   /** Returns the expected run time at a worker. */
@@ -107,18 +128,22 @@
                   Milliseconds aRunTime) const;
   QueueSpeed& SpeedOf(const Work& aWork, const PoolSpeed& aPool);
 
+  const double mLogSpreadFactor;
   std::unordered_map<PoolName, PoolSpeed> mPools;
   /** By pool and labels. */
   std::unordered_map<std::string, KindSpeed> mKinds;
   /** By queue; the steps of a queue by their index. */
   std::unordered_map<QueueName, std::vector<QueueSpeed>> mQueues;
+  /** By pool and label. */
+  std::map<std::pair<PoolName, std::string>, EndRate> mRacks;
 };
 
 /** Returns which task is run. */
 inline RunTimeModel::Work
 WorkOf(const DispatchJob& aJob, const TaskId& aTask)
 {
-  return { aJob.mQueue, aTask.mStep, aJob.Step(aTask).mEstimateMs };
+  const StepSpec& step = aJob.Step(aTask);
+  return { aJob.mQueue, aTask.mStep, step.mEstimateMs, &step.mDataRack };
 }
 
 }
--- a/Source/Dispatch/WorkerSpeed.h
+++ b/Source/Dispatch/WorkerSpeed.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <optional>
 
+#include "Dispatch/EndRate.h"
+
 namespace almondspoke::dispatch {
 
 /** Step of the speed of workers, relative to the mean of their pool: 0 at the
@@ -20,6 +22,7 @@
   std::size_t mWorkers = 0;
   /** Mean logarithm of the factor of these workers. */
   double mLogFactor = 0;
+  EndRate mEnds;
 };
 
 /** \brief The speed of the workers of a pool. */
@@ -45,6 +48,15 @@
     }
     return std::nullopt;
   }
+  std::optional<SpeedTier> FastestTier() const
+  {
+    for (std::size_t i = 0; i < kSpeedTiers; ++i) {
+      if (mTiers[i].mWorkers > 0) {
+        return static_cast<SpeedTier>(static_cast<int>(i) - kMaxSpeedTier);
+      }
+    }
+    return std::nullopt;
+  }
   TierSpeed& At(SpeedTier aTier)
   {
     return mTiers[static_cast<std::size_t>(aTier + kMaxSpeedTier)];
