--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -24,9 +24,12 @@
 #include "Dispatch/OrderFlow.h"
 #include "Dispatch/OrderTimeoutEstimator.h"
 #include "Dispatch/OverloadDetector.h"
+#include "Dispatch/PlacementWaits.h"
 #include "Dispatch/ReadyQueue.h"
 #include "Dispatch/RunLedger.h"
+#include "Dispatch/RunTimeModel.h"
 #include "Dispatch/StartWindow.h"
+#include "Dispatch/StragglerRule.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Dispatch/WorkerIndex.h"
 #include "Dispatch/WorkerSession.h"
@@ -78,6 +81,12 @@
   std::chrono::milliseconds mStoredResultRetention{ 130'000 };
   /** A worker without runs is removed if it has not reported for this long. */
   std::chrono::milliseconds mWorkerExpiry{ 12'000 };
+  /** Whether the run times of queues and workers are learned and decide where
+   * tasks are placed. */
+  bool mLearnRunTimes = false;
+  /** Run time of a task off the rack that it prefers, relative to that on it;
+   * 1 means that racks make no difference. */
+  double mSpreadFactor = 1.0;
   std::uint64_t mSeed = 1;
 };
 
@@ -97,6 +106,7 @@
   std::uint64_t mRunsFailed = 0;
   std::uint64_t mRunsLost = 0;
   std::uint64_t mStragglers = 0;
+  std::uint64_t mStragglersLeft = 0;
 };
 
 /** \brief Latency distributions since a Coordinator was created: total time of
@@ -201,6 +211,11 @@
   const RunLedgerCounters& LedgerCounters() const { return mLedger.Counters(); }
   const CoordinatorLatencies& Latencies() const { return mLatencies; }
   const WorkerSessions& Workers() const { return mWorkers; }
+  const RunTimeModel& RunTimes() const { return mRunTimes; }
+  const PlacementWaitCounters& PlacementWaitsTaken() const
+  {
+    return mPlacementWaits.Counters();
+  }
   std::size_t OpenJobs() const;
   std::size_t AssignedRuns() const;
 
@@ -331,6 +346,18 @@
   void OnFenced(WorkerSession& aWorker);
   void RetryStops(WorkerSession& aWorker);
   void StopStragglers(WorkerSession& aWorker, TimePoint aNow);
+  /** Judges a run by the RunTimeModel. */
+  bool IsStragglerByModel(const WorkerSession& aWorker,
+                          const DispatchJob& aJob,
+                          const TaskId& aTask,
+                          TrackedRun& aRun,
+                          TimePoint aNow);
+  /** Learns from a run that has taken so long that its end would add nothing.
+   */
+  void LearnOverrun(WorkerSession& aWorker,
+                    const DispatchJob& aJob,
+                    const TaskId& aTask,
+                    TrackedRun& aRun);
   bool IsStraggler(const DispatchJob& aJob,
                    const TaskId& aTask,
                    const TrackedRun& aRun,
@@ -405,6 +432,11 @@
   void OnUnanswered(WorkerSession& aWorker);
   void ProcessEnds(WorkerSession& aWorker, const std::vector<EndedRun>& aEnds);
   void ProcessEnd(WorkerSession& aWorker, const EndedRun& aEnd);
+  /** Passes the run time of a run to the RunTimeModel. */
+  void LearnRunTime(WorkerSession& aWorker,
+                    const DispatchJob& aJob,
+                    const TaskId& aTask,
+                    std::chrono::milliseconds aRunTime);
   void ProcessRunning(WorkerSession& aWorker,
                       std::uint64_t aHold,
                       const HoldResult& aLists);
@@ -448,6 +480,8 @@
   DataCentreNames mEvacuated;
   WorkerSessions mWorkers;
   RunLedger mLedger;
+  RunTimeModel mRunTimes;
+  PlacementWaits mPlacementWaits;
   WorkerIndex mIndex;
   StartWindows mWindows;
   WorkerTimers mTimers;
--- a/Source/Dispatch/DispatchMetrics.cxx
+++ b/Source/Dispatch/DispatchMetrics.cxx
@@ -23,7 +23,7 @@
   std::uint64_t Counters::*mCount;
 };
 
-constexpr std::array<CounterRow<CoordinatorCounters>, 13>
+constexpr std::array<CounterRow<CoordinatorCounters>, 14>
   kCoordinatorCounters = { {
     { "almondspoke_dispatch_jobs_accepted_total",
       "Jobs that this leader took",
@@ -64,6 +64,22 @@
     { "almondspoke_dispatch_runs_too_slow_total",
       "Runs that were stopped to be repeated elsewhere",
       &CoordinatorCounters::mStragglers },
+    { "almondspoke_dispatch_runs_slow_left_total",
+      "Slow runs that were not stopped, since a new start would gain nothing",
+      &CoordinatorCounters::mStragglersLeft },
+  } };
+
+constexpr std::array<CounterRow<PlacementWaitCounters>, 3>
+  kPlacementWaitCounters = { {
+    { "almondspoke_dispatch_placement_waits_total",
+      "Jobs that waited for a better place although a worker was found",
+      &PlacementWaitCounters::mBegun },
+    { "almondspoke_dispatch_placement_waits_ended_by_room_total",
+      "Waits that ended at the better place",
+      &PlacementWaitCounters::mEndedByRoom },
+    { "almondspoke_dispatch_placement_waits_ended_by_time_total",
+      "Waits that ended elsewhere, since nothing more was to be gained",
+      &PlacementWaitCounters::mEndedByTime },
   } };
 
 constexpr std::array<CounterRow<RelayCounters>, 4> kRelayCounters = { {
@@ -203,6 +219,24 @@
   return family;
 }
 
+MetricFamily
+WorkersByTier(const RunTimeModel& aModel)
+{
+  MetricFamily family =
+    FamilyOf("almondspoke_dispatch_workers_by_tier",
+             "Workers by tier of speed: 0 near the mean of the pool, negative "
+             "for faster ones; none unless run times are learned",
+             MetricType::Gauge);
+  family.metric.clear();
+  for (SpeedTier tier = -kMaxSpeedTier; tier <= kMaxSpeedTier; ++tier) {
+    ClientMetric metric;
+    metric.label.push_back({ "tier", std::to_string(tier) });
+    metric.gauge.value = static_cast<double>(aModel.WorkersIn(tier));
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
 constexpr std::array<CounterRow<RunLedgerCounters>, 2> kLedgerCounters = { {
   { "almondspoke_dispatch_runs_found_total",
     "Runs of other leaders that were found on workers",
@@ -314,6 +348,9 @@
   aFamilies.push_back(Gauge("almondspoke_dispatch_workers_usable",
                             "Workers on which the leader may start runs",
                             static_cast<double>(usable)));
+  aFamilies.push_back(WorkersByTier(coordinator.RunTimes()));
+  AddCounters(
+    kPlacementWaitCounters, coordinator.PlacementWaitsTaken(), aFamilies);
   aFamilies.push_back(Gauge("almondspoke_dispatch_jobs_open",
                             "Jobs that have not ended",
                             static_cast<double>(coordinator.OpenJobs())));
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -10,6 +10,7 @@
 #include "Dispatch/ListOrders.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Dispatch/WorkerHealth.h"
+#include "Dispatch/WorkerSpeed.h"
 
 namespace almondspoke::dispatch {
 
@@ -70,6 +71,21 @@
     return std::chrono::milliseconds(
       mConfirmedClock > 0 ? mProgressClock - mConfirmedClock : 0);
   }
+  /** True once a RunTimeModel has learned from the run. */
+  bool mIsLearned = false;
+  /** True once the run was found slow and left, since a new start would gain
+   * nothing. */
+  bool mIsLeft = false;
+
+  /** Returns how long the run has taken when the worker's clock showed a time;
+   * zero if its start is not known, as for a run that this leader has found. */
+  std::chrono::milliseconds RunTimeAt(WorkerTime aClock) const
+  {
+    return std::chrono::milliseconds(mMinClockAtStart > 0 &&
+                                         mConfirmedClock > 0 && !mIsInherited
+                                       ? aClock - mConfirmedClock
+                                       : 0);
+  }
   /** Records that the worker had the run when its clock showed a time. */
   void Confirm(WorkerTime aClock)
   {
@@ -97,6 +113,7 @@
   /** \brief A worker's place in the lists of the WorkerIndex, which sets it. */
   struct IndexPosition
   {
+    SpeedTier mTier = 0;
     bool mIsCold = false;
     std::uint32_t mFreeMilliCores = 0;
     /** Number of the session; different for each session of a leader. */
@@ -245,6 +262,11 @@
   /** Time at which the first of the current orphans was found. */
   TimePoint mFirstOrphanAt{};
   WorkerHealth mHealth;
+  /** Set by the RunTimeModel. */
+  WorkerSpeed mSpeed;
+  /** What the worker's clock showed when it made the list that is processed;
+   * zero if earlier orders for a list were not answered. */
+  WorkerTime mListedAtClock = 0;
   TimePoint mLastReport{};
 
 private:
