Dispatch: Admits jobs by their expected end

Cause: a job was refused once it had waited for a fifth of the time to its objective (76 of 380 ms for a run of 200 ms), although its slack is 180 ms.

Change, with admission = expected-end (fixed decides as before): - AdmissionStrategy decides on arrival and at the end of the permitted wait. While a new leader recovers, a job waits if the answer can still be of use. - A job that cannot be in time any more is scheduled after all that can, once no such work has waited for as long as it takes, and refused when its answer would be of no use. - RoomEstimator measures the cores on which waiting work is started. - Jobs are listed by the size of their tasks, since a large task that finds no room says nothing about a smaller one; of one priority, larger tasks are tried a little earlier, so that gaps are filled with what fits best. - Refusals are counted by reason, and their log lines name the inputs.

--- a/Source/Dispatch/Admission.cxx
+++ b/Source/Dispatch/Admission.cxx
@@ -17,13 +17,6 @@
  * objective. */
 constexpr int kGiveUpAfterObjectives = 3;
 
-/** Fraction of the cores that tasks can use; the rest is lost to fragmentation,
- * since tasks do not always fit into the remaining room of a worker. */
-constexpr double kUsableCoreFraction = 0.8;
-
-constexpr milliseconds kMinRetryDelay{ 200 };
-constexpr milliseconds kMaxRetryDelay{ 5000 };
-
 }
 
 milliseconds
--- a/Source/Dispatch/Admission.h
+++ b/Source/Dispatch/Admission.h
@@ -29,6 +29,13 @@
 class Admission
 {
 public:
+  /** Fraction of the cores that tasks can use; the rest is lost to
+   * fragmentation, since tasks do not always fit into the remaining room of a
+   * worker. */
+  static constexpr double kUsableCoreFraction = 0.8;
+  static constexpr std::chrono::milliseconds kMinRetryDelay{ 200 };
+  static constexpr std::chrono::milliseconds kMaxRetryDelay{ 5000 };
+
   /** Returns the longest time that a job may wait for its first start. */
   static std::chrono::milliseconds MaxQueueTime(const DispatchJob& aJob);
 
--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -79,6 +79,8 @@
   , mRandom(aOptions.mSeed)
   , mOrderTimeouts(aOptions.mMaxOrderTimeout)
   , mFlow(aLog)
+  , mAdmission(MakeAdmissionStrategy(aOptions.mAdmission))
+  , mReady(*mAdmission)
 {
 }
 
@@ -139,6 +141,7 @@
   mWindows.Clear();
   mWorkers.clear();
   mReady.Clear();
+  mRoom.Clear();
   mLastTriedInTurn = {};
   mJobs.clear();
   mJobExpiries.clear();
@@ -212,30 +215,12 @@
   }
   JobPtr job = MakeJob(submission, *aMatch.mQueue);
   job->mMayHaveRun = aRequest.mEarlierSends > 0;
-  const Backlog backlog = BacklogBefore(*job);
-  if (IsRefusedForOverload(*job)) {
-    RefuseNew(aCall,
-              *job,
-              backlog,
-              Admission::RetryDelayOfOverload(RandomJitter()),
-              "overload",
-              "the leader is behind and takes no new work of this urgency");
-    return;
+  if (aRequest.mWaitMs > 0) {
+    job->mAnswerBy = job->mArrivedAt + milliseconds(aRequest.mWaitMs);
   }
-  const auto retryDelay =
-    mRecoveryComplete && !job->mMayHaveRun
-      ? Admission::RetryDelayIfRefused(*job, backlog, RandomJitter())
-      : std::nullopt;
-  if (retryDelay) {
-    RefuseNew(aCall,
-              *job,
-              backlog,
-              *retryDelay,
-              "backlog",
-              "the backlog is too long to start the job in time");
-    return;
+  if (IsAdmitted(aCall, *job)) {
+    Accept(std::move(job), aCall);
   }
-  Accept(std::move(job), aCall);
 }
 
 void
@@ -269,6 +254,8 @@
   job->mQueue = aQueue;
   job->mClass = PlacementClassOf(aQueue.mPool, aSubmission.mSteps);
   job->mClass.mIsTooLarge = IsTooLarge(*job);
+  job->mClass.mSizeStep =
+    mAdmission->UsesRoom() ? SizeStepOf(aSubmission.mSteps) : 0;
   job->mArrivalNumber = mNextArrivalNumber;
   job->mArrivedAt = mClock.MonotonicNow();
   job->mExpectedDuration = CriticalPathDuration(aSubmission);
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -17,14 +17,16 @@
 
 #include "Base/Clock.h"
 #include "Base/EventLog.h"
-#include "Dispatch/Admission.h"
+#include "Dispatch/AdmissionStrategy.h"
 #include "Dispatch/DispatchJob.h"
 #include "Dispatch/DispatchState.h"
 #include "Dispatch/LatencyHistogram.h"
+#include "Dispatch/NodeSettings.h"
 #include "Dispatch/OrderFlow.h"
 #include "Dispatch/OrderTimeoutEstimator.h"
 #include "Dispatch/OverloadDetector.h"
 #include "Dispatch/ReadyQueue.h"
+#include "Dispatch/RoomEstimator.h"
 #include "Dispatch/StartWindow.h"
 #include "Dispatch/WorkerCalls.h"
 #include "Dispatch/WorkerIndex.h"
@@ -77,6 +79,8 @@
   std::chrono::milliseconds mStoredResultRetention{ 130'000 };
   /** A worker without runs is removed if it has not reported for this long. */
   std::chrono::milliseconds mWorkerExpiry{ 12'000 };
+  /** How it is decided whether a job is accepted, and how long it may wait. */
+  AdmissionPolicy mAdmission = AdmissionPolicy::Fixed;
   std::uint64_t mSeed = 1;
 };
 
@@ -85,6 +89,14 @@
 {
   std::uint64_t mAccepted = 0;
   std::uint64_t mRefused = 0;
+  /** Refused jobs by reason: the leader is behind; the queue is too long; no
+   * room was found in time; the leader does not recover in time. */
+  std::uint64_t mRefusedForOverload = 0;
+  std::uint64_t mRefusedForBacklog = 0;
+  std::uint64_t mRefusedAfterWait = 0;
+  std::uint64_t mRefusedInRecovery = 0;
+  /** Jobs that could no longer end in time and were served after others. */
+  std::uint64_t mDeferred = 0;
   std::uint64_t mCompleted = 0;
   std::uint64_t mFailed = 0;
   std::uint64_t mGivenUp = 0;
@@ -231,10 +243,19 @@
   /** Refuses a job that was not accepted. */
   void RefuseNew(CallId aCall,
                  const DispatchJob& aJob,
-                 const Backlog& aBacklog,
-                 std::chrono::milliseconds aRetryDelay,
+                 const AdmissionDecision& aDecision,
                  const char* aReason,
                  const char* aMessage);
+  /** Decides on a new job; if it is refused, the call is answered. */
+  bool IsAdmitted(CallId aCall, DispatchJob& aJob);
+  /** Decides on a job by what is known of the capacity now. */
+  AdmissionDecision Decide(const DispatchJob& aJob);
+  /** Records for each pool whether work that can be in time waits. */
+  void ObserveRoom();
+  /** Whether a job that cannot be in time may be started. */
+  bool MayStartLate(const DispatchJob& aJob) const;
+  /** Serves a job after all that can be in time. */
+  void Defer(DispatchJob& aJob);
   Backlog BacklogBefore(const DispatchJob& aJob) const;
   /** Counts the cores of a worker as usable or not, according to its state. */
   void CountUsableCores(WorkerSession& aWorker, TimePoint aNow);
@@ -383,6 +404,9 @@
   /** Returns whether the leases that this leader has granted to unread workers
    * have expired. */
   bool HaveUnreadLeasesExpired(TimePoint aNow) const;
+  /** Returns the longest time for which leases of earlier leaders last after
+   * this one has begun to lead. */
+  std::chrono::milliseconds RecoveryTime() const;
   void TryFinishRecovery(TimePoint aNow);
 
   const CoordinatorOptions mOptions;
@@ -417,6 +441,8 @@
   WorkerTimers mTimers;
   std::uint64_t mNextSessionNumber = 1;
   std::unordered_map<JobId, JobPtr> mJobs;
+  const std::unique_ptr<AdmissionStrategy> mAdmission;
+  RoomEstimator mRoom;
   ReadyQueue mReady;
   /** Version of the workers' capacity by which the jobs are classified. */
   std::uint64_t mClassifiedCapacity = 0;
--- a/Source/Dispatch/CoordinatorAdmission.cxx
+++ b/Source/Dispatch/CoordinatorAdmission.cxx
@@ -10,6 +10,11 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+/** Work that cannot be in time is started once no other work has waited for as
+ * long as it takes, but at most for this long: room that was free for a time is
+ * likely to stay free for as long again. */
+constexpr milliseconds kMaxQuietTime{ 200 };
+
 }
 
 void
@@ -42,8 +47,7 @@
 void
 Coordinator::RefuseNew(CallId aCall,
                        const DispatchJob& aJob,
-                       const Backlog& aBacklog,
-                       milliseconds aRetryDelay,
+                       const AdmissionDecision& aDecision,
                        const char* aReason,
                        const char* aMessage)
 {
@@ -52,18 +56,122 @@
     .With("job", aJob.mSubmission.mId)
     .With("queue", aJob.mQueue.mName)
     .With("reason", aReason)
+    .With("policy", NameOf(kAdmissionPolicyNames, mOptions.mAdmission))
     .With("work_ahead_core_ms",
-          static_cast<std::int64_t>(aBacklog.mCoreMsAhead))
-    .With("cores", static_cast<std::int64_t>(aBacklog.mUsableCores))
+          static_cast<std::int64_t>(aDecision.mCoreMsAhead))
+    .With("cores", static_cast<std::int64_t>(aDecision.mCores))
+    .With("expected_ms", std::int64_t{ aJob.mExpectedDuration.count() })
+    .With("queue_time_ms", std::int64_t{ aDecision.mQueueTime.count() })
+    .With("slack_ms", std::int64_t{ aDecision.mSlack.count() })
     .With("delay_ms", std::int64_t{ mLoad.Delay().count() })
-    .With("retry_after_ms", std::int64_t{ aRetryDelay.count() });
+    .With("retry_after_ms", std::int64_t{ aDecision.mRetryDelay.count() });
   JobReply reply;
   reply.mKind = JobReplyKind::Refused;
-  reply.mRetryAfterMs = static_cast<std::uint32_t>(aRetryDelay.count());
+  reply.mRetryAfterMs =
+    static_cast<std::uint32_t>(aDecision.mRetryDelay.count());
   reply.mMessage = aMessage;
   mReplies.Reply(aCall, reply);
 }
 
+AdmissionDecision
+Coordinator::Decide(const DispatchJob& aJob)
+{
+  const TimePoint now = mClock.MonotonicNow();
+  AdmissionInputs inputs;
+  inputs.mNow = now;
+  inputs.mBacklog = BacklogBefore(aJob);
+  inputs.mObservedCores = mRoom.ObservedCores(aJob.mQueue.mPool, now);
+  inputs.mJitter = RandomJitter();
+  if (!mRecoveryComplete) {
+    inputs.mRecoveryEndsBy = mLeadingSince + RecoveryTime();
+  }
+  AdmissionDecision decision = mAdmission->Decide(aJob, inputs);
+  const bool mayHaveRoom = decision.mVerdict != AdmissionVerdict::Accept &&
+                           mAdmission->UsesRoom() && mRecoveryComplete &&
+                           mWindows.MayStart() && mCalls.MaySend();
+  if (mayHaveRoom) {
+    const TaskId first{ aJob.mSubmission.mId, 0, 0, 0 };
+    inputs.mHasRoom = mIndex.Choose(aJob, first, now, mWindows) != nullptr;
+    decision = mAdmission->Decide(aJob, inputs);
+  }
+  return decision;
+}
+
+bool
+Coordinator::IsAdmitted(CallId aCall, DispatchJob& aJob)
+{
+  AdmissionDecision decision = Decide(aJob);
+  if (IsRefusedForOverload(aJob)) {
+    ++mCounters.mRefusedForOverload;
+    decision.mRetryDelay = Admission::RetryDelayOfOverload(RandomJitter());
+    RefuseNew(aCall,
+              aJob,
+              decision,
+              "overload",
+              "the leader is behind and takes no new work of this urgency");
+    return false;
+  }
+  if (decision.mVerdict == AdmissionVerdict::Refuse) {
+    ++(mRecoveryComplete ? mCounters.mRefusedForBacklog
+                         : mCounters.mRefusedInRecovery);
+    RefuseNew(aCall,
+              aJob,
+              decision,
+              mRecoveryComplete ? "backlog" : "recovery",
+              mRecoveryComplete
+                ? "the backlog is too long to start the job in time"
+                : "the new leader cannot start the job in time");
+    return false;
+  }
+  aJob.mIsLate = decision.mVerdict == AdmissionVerdict::AcceptLate;
+  mCounters.mDeferred += aJob.mIsLate ? 1 : 0;
+  return true;
+}
+
+void
+Coordinator::ObserveRoom()
+{
+  if (!mAdmission->UsesRoom()) {
+    return;
+  }
+  const TimePoint now = mClock.MonotonicNow();
+  std::set<std::string_view> waiting;
+  for (const auto& [key, jobs] : mReady.ClassesByFirstJob()) {
+    if (key.mIsLate) {
+      break;
+    }
+    waiting.insert(jobs->begin()->second->mClass.mPool);
+  }
+  for (const auto& [pool, cores] : mUsableMilliCores) {
+    mRoom.SetWaiting(pool, waiting.count(pool) != 0, now);
+  }
+}
+
+bool
+Coordinator::MayStartLate(const DispatchJob& aJob) const
+{
+  const auto freeSince = mRoom.FreeSince(aJob.mQueue.mPool);
+  return freeSince && mClock.MonotonicNow() - *freeSince >=
+                        std::min(kMaxQuietTime, aJob.mExpectedDuration);
+}
+
+void
+Coordinator::Defer(DispatchJob& aJob)
+{
+  ++mCounters.mDeferred;
+  mReady.Defer(aJob);
+  EventLine(mLog, "job-deferred")
+    .With("job", aJob.mSubmission.mId)
+    .With("queue", aJob.mQueue.mName)
+    .With("policy", NameOf(kAdmissionPolicyNames, mOptions.mAdmission))
+    .With("expected_ms", std::int64_t{ aJob.mExpectedDuration.count() })
+    .With("waited_ms",
+          std::int64_t{
+            duration_cast<milliseconds>(mClock.MonotonicNow() - aJob.mArrivedAt)
+              .count() })
+    .With("started", aJob.mStarted);
+}
+
 Backlog
 Coordinator::BacklogBefore(const DispatchJob& aJob) const
 {
@@ -82,11 +190,12 @@
 Coordinator::Refuse(DispatchJob& aJob, const char* aReason)
 {
   ++mCounters.mRefused;
-  const Backlog backlog = BacklogBefore(aJob);
+  const AdmissionDecision decision = Decide(aJob);
+  ++mCounters.mRefusedAfterWait;
   JobReply reply;
   reply.mKind = JobReplyKind::Refused;
-  reply.mRetryAfterMs = static_cast<std::uint32_t>(
-    Admission::RetryDelay(backlog, RandomJitter()).count());
+  reply.mRetryAfterMs =
+    static_cast<std::uint32_t>(decision.mRetryDelay.count());
   reply.mMessage = aReason;
   EventLine(mLog, "job-refused")
     .With("job", aJob.mSubmission.mId)
@@ -96,6 +205,12 @@
           std::int64_t{
             duration_cast<milliseconds>(mClock.MonotonicNow() - aJob.mArrivedAt)
               .count() })
+    .With("policy", NameOf(kAdmissionPolicyNames, mOptions.mAdmission))
+    .With("work_ahead_core_ms",
+          static_cast<std::int64_t>(decision.mCoreMsAhead))
+    .With("cores", static_cast<std::int64_t>(decision.mCores))
+    .With("expected_ms", std::int64_t{ aJob.mExpectedDuration.count() })
+    .With("late", aJob.mIsLate)
     .With("retry_after_ms", reply.mRetryAfterMs);
   ReplyAll(aJob, reply);
   mReady.Remove(aJob);
--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -474,14 +474,19 @@
     });
 }
 
+milliseconds
+Coordinator::RecoveryTime() const
+{
+  return mOptions.mMaxLease * kLeaseExpiryPercent / kHundredPercent;
+}
+
 void
 Coordinator::TryFinishRecovery(TimePoint aNow)
 {
   if (mRecoveryComplete) {
     return;
   }
-  const milliseconds maxLease =
-    mOptions.mMaxLease * kLeaseExpiryPercent / kHundredPercent;
+  const milliseconds maxLease = RecoveryTime();
   // A local leader need not wait for leases to expire: it starts only jobs that
   // no other leader has seen.
   const bool leasesExpired =
--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -264,8 +264,14 @@
   UnplacedNeeds unplaced;
   SchedulingPass pass(mReady);
   while (DispatchJob* job = mWindows.MayStart() ? pass.Next() : nullptr) {
-    pass.OnScheduled(ScheduleJob(*job, unplaced));
+    if (!job->mIsLate) {
+      pass.OnScheduled(ScheduleJob(*job, unplaced));
+      continue;
+    }
+    ObserveRoom();
+    pass.OnScheduled(MayStartLate(*job) && ScheduleJob(*job, unplaced));
   }
+  ObserveRoom();
 }
 
 // A pass ends before jobs that stand behind many others which no worker can
@@ -285,7 +291,9 @@
     DispatchJob& job = *entry->second;
     // Advance first: scheduling a job may erase its own entry, but no other.
     ++entry;
-    ScheduleJob(job, unplaced);
+    if (!job.mIsLate || MayStartLate(job)) {
+      ScheduleJob(job, unplaced);
+    }
   }
   if (entry == jobs.end()) {
     mLastTriedInTurn = {};
@@ -332,8 +340,21 @@
 {
   std::vector<DispatchJob*> refused;
   std::vector<DispatchJob*> abandoned;
+  UnplacedNeeds unplaced;
   for (DispatchJob* job : mReady.TakeOverdue(aNow)) {
-    (job->MayBeRefused() ? refused : abandoned).push_back(job);
+    const AdmissionVerdict verdict = mAdmission->OnWaitLimit(*job, aNow);
+    // Room that the jobs before it could not use may do for this one.
+    const bool mayHaveRoom =
+      mAdmission->UsesRoom() && job->MayBeRefused() && MaySchedule();
+    if (mayHaveRoom && ScheduleJob(*job, unplaced)) {
+      continue;
+    }
+    if (verdict == AdmissionVerdict::AcceptLate) {
+      Defer(*job);
+    } else {
+      (verdict == AdmissionVerdict::Refuse ? refused : abandoned)
+        .push_back(job);
+    }
   }
   for (DispatchJob* job : refused) {
     Refuse(*job,
--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -69,6 +69,7 @@
   options.mHoldWait = aSettings.mMaxLease * 3 / 10;
   options.mWorkerExpiry =
     aSettings.mWorkerReportInterval * kMissedReportsUntilExpiry;
+  options.mAdmission = aSettings.mAdmission;
   options.mSeed = std::random_device{}();
   return options;
 }
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -120,6 +120,9 @@
     aJob.mState = JobState::Running;
   }
   ++mCounters.mStarts;
+  mRoom.OnStarted(aJob.mQueue.mPool,
+                  static_cast<double>(step.mNeeds.mMilliCores) / 1000.0 *
+                    step.mEstimateMs);
   EventLine(mLog, "run-ordered")
     .With("job", aTask.mJob)
     .With("step", aTask.mStep)
--- a/Source/Dispatch/DispatchJob.cxx
+++ b/Source/Dispatch/DispatchJob.cxx
@@ -1,5 +1,7 @@
 #include "Dispatch/DispatchJob.h"
 
+#include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace almondspoke::dispatch {
@@ -26,6 +28,17 @@
   return { aPool, { labels.begin(), labels.end() } };
 }
 
+std::uint32_t
+SizeStepOf(const std::vector<StepSpec>& aSteps)
+{
+  constexpr double kStepsPerDoubling = 6;
+  std::uint32_t largest = 1;
+  for (const StepSpec& step : aSteps) {
+    largest = std::max(largest, step.mNeeds.mMilliCores);
+  }
+  return static_cast<std::uint32_t>(std::log2(largest) * kStepsPerDoubling);
+}
+
 std::uint64_t
 DispatchJob::WaitingWork() const
 {
--- a/Source/Dispatch/DispatchJob.h
+++ b/Source/Dispatch/DispatchJob.h
@@ -54,14 +54,32 @@
   std::vector<std::string> mLabels;
   /** True if a step needs more than any worker of the pool has. */
   bool mIsTooLarge = false;
+  /** Step of the size of the largest task (see SizeStepOf), or zero if sizes are
+   * not told apart. A task that finds no room says nothing about smaller ones.
+   */
+  std::uint32_t mSizeStep = 0;
 
+  /** Returns whether the classes differ by nothing but the size. */
+  bool IsOfOtherSize(const PlacementClass& aOther) const
+  {
+    return mIsTooLarge == aOther.mIsTooLarge && mPool == aOther.mPool &&
+           mLabels == aOther.mLabels;
+  }
   bool operator<(const PlacementClass& aOther) const
   {
-    return std::tie(mPool, mLabels, mIsTooLarge) <
-           std::tie(aOther.mPool, aOther.mLabels, aOther.mIsTooLarge);
+    return std::tie(mPool, mLabels, mIsTooLarge, mSizeStep) <
+           std::tie(aOther.mPool,
+                    aOther.mLabels,
+                    aOther.mIsTooLarge,
+                    aOther.mSizeStep);
   }
 };
 
+/** Returns the step of the size of the largest task of some steps: higher for
+ * larger ones, and the same for sizes that differ by an eighth or less. */
+std::uint32_t
+SizeStepOf(const std::vector<StepSpec>& aSteps);
+
 /** Returns the class of jobs with these steps, all of them small enough. */
 PlacementClass
 PlacementClassOf(const PoolName& aPool, const std::vector<StepSpec>& aSteps);
@@ -91,6 +109,12 @@
   /** True if an earlier leader may have started tasks of the job. Such a job is
    * never refused, since a refusal guarantees that it did not run. */
   bool mMayHaveRun = false;
+  /** Time up to which a caller waits for the answer; unset if it is not known.
+   */
+  std::optional<TimePoint> mAnswerBy;
+  /** True if the job can no longer end in time. It is scheduled after all that
+   * can. */
+  bool mIsLate = false;
   /** True if no further tasks of the job are started, for example because its
    * caller has disconnected. */
   bool mAbandoned = false;
@@ -130,25 +154,31 @@
   std::uint64_t WaitingWork() const;
 };
 
-/** \brief Sort key of the scheduler: priority, then the due time of the job,
- * then its arrival. */
+/** \brief Sort key of the scheduler: jobs that can be in time before those that
+ * cannot, priority, then the due time of the job, then its arrival. */
 struct SchedulingKey
 {
+  bool mIsLate = false;
   std::uint32_t mPriority = 0;
   Clock::Monotonic mDueAt{};
   std::uint64_t mArrivalNumber = 0;
 
   bool operator<(const SchedulingKey& aOther) const
   {
-    return std::tie(mPriority, mDueAt, mArrivalNumber) <
-           std::tie(aOther.mPriority, aOther.mDueAt, aOther.mArrivalNumber);
+    return std::tie(mIsLate, mPriority, mDueAt, mArrivalNumber) <
+           std::tie(aOther.mIsLate,
+                    aOther.mPriority,
+                    aOther.mDueAt,
+                    aOther.mArrivalNumber);
   }
 };
 
 inline SchedulingKey
 SchedulingKeyOf(const DispatchJob& aJob)
 {
-  return { aJob.mQueue.mPriority, aJob.mDueAt, aJob.mArrivalNumber };
+  return {
+    aJob.mIsLate, aJob.mQueue.mPriority, aJob.mDueAt, aJob.mArrivalNumber
+  };
 }
 
 }
--- a/Source/Dispatch/DispatchMetrics.cxx
+++ b/Source/Dispatch/DispatchMetrics.cxx
@@ -23,7 +23,7 @@
   std::uint64_t Counters::*mCount;
 };
 
-constexpr std::array<CounterRow<CoordinatorCounters>, 13>
+constexpr std::array<CounterRow<CoordinatorCounters>, 18>
   kCoordinatorCounters = { {
     { "almondspoke_dispatch_jobs_accepted_total",
       "Jobs that this leader took",
@@ -31,6 +31,21 @@
     { "almondspoke_dispatch_jobs_refused_total",
       "Jobs refused as not run",
       &CoordinatorCounters::mRefused },
+    { "almondspoke_dispatch_jobs_refused_overload_total",
+      "Jobs refused because the leader is behind",
+      &CoordinatorCounters::mRefusedForOverload },
+    { "almondspoke_dispatch_jobs_refused_backlog_total",
+      "Jobs refused on arrival because too much work is ahead of them",
+      &CoordinatorCounters::mRefusedForBacklog },
+    { "almondspoke_dispatch_jobs_refused_after_wait_total",
+      "Jobs refused because they found no room in time",
+      &CoordinatorCounters::mRefusedAfterWait },
+    { "almondspoke_dispatch_jobs_refused_recovery_total",
+      "Jobs refused on arrival because a new leader recovers",
+      &CoordinatorCounters::mRefusedInRecovery },
+    { "almondspoke_dispatch_jobs_deferred_total",
+      "Jobs that could not be in time and were served after others",
+      &CoordinatorCounters::mDeferred },
     { "almondspoke_dispatch_jobs_completed_total",
       "Jobs that ended well",
       &CoordinatorCounters::mCompleted },
--- a/Source/Dispatch/ReadyQueue.cxx
+++ b/Source/Dispatch/ReadyQueue.cxx
@@ -57,6 +57,14 @@
   DisarmLimit(aJob);
 }
 
+void
+ReadyQueue::Defer(DispatchJob& aJob)
+{
+  Remove(aJob);
+  aJob.mIsLate = true;
+  Update(aJob);
+}
+
 void
 ReadyQueue::Clear()
 {
@@ -99,7 +107,8 @@
 void
 ReadyQueue::Count(ClassQueue& aQueue, DispatchJob& aJob, std::uint64_t aWork)
 {
-  PriorityWork& priority = aQueue.mWork[aJob.mQueue.mPriority];
+  PriorityWork& priority =
+    aQueue.mWork[{ aJob.mIsLate, aJob.mQueue.mPriority }];
   const auto range =
     priority.mByDueTime.try_emplace(RangeStart(aJob.mDueAt)).first;
   const std::uint64_t counted = aJob.mCountedWork;
@@ -116,13 +125,14 @@
 ReadyQueue::WorkBefore(const ClassQueue& aQueue, const SchedulingKey& aKey)
 {
   std::uint64_t before = 0;
+  const std::pair<bool, std::uint32_t> own{ aKey.mIsLate, aKey.mPriority };
   for (const auto& [priority, work] : aQueue.mWork) {
-    if (priority >= aKey.mPriority) {
+    if (priority >= own) {
       break;
     }
     before += work.mTotal;
   }
-  const auto same = aQueue.mWork.find(aKey.mPriority);
+  const auto same = aQueue.mWork.find(own);
   if (same == aQueue.mWork.end()) {
     return before;
   }
@@ -134,7 +144,8 @@
     before += work;
   }
   // Only the jobs in the range of the job itself are counted one by one.
-  auto job = aQueue.mJobs.lower_bound({ aKey.mPriority, range, 0 });
+  auto job = aQueue.mJobs.lower_bound(
+    { aKey.mIsLate, aKey.mPriority, range, 0 });
   for (; job != aQueue.mJobs.end() && job->first < aKey; ++job) {
     before += job->second->mCountedWork;
   }
@@ -146,12 +157,14 @@
                        const SchedulingKey& aKey,
                        Backlog& aBacklog) const
 {
-  const auto entry = mClasses.find(aClass);
-  if (entry == mClasses.end()) {
-    return;
+  PlacementClass smallest = aClass;
+  smallest.mSizeStep = 0;
+  for (auto entry = mClasses.lower_bound(smallest);
+       entry != mClasses.end() && entry->first.IsOfOtherSize(aClass);
+       ++entry) {
+    aBacklog.mCoreMsWaiting += CoreMilliseconds(entry->second.mTotalWork);
+    aBacklog.mCoreMsAhead += CoreMilliseconds(WorkBefore(entry->second, aKey));
   }
-  aBacklog.mCoreMsWaiting += CoreMilliseconds(entry->second.mTotalWork);
-  aBacklog.mCoreMsAhead += CoreMilliseconds(WorkBefore(entry->second, aKey));
 }
 
 // Work that requires other labels waits for other workers. Work without a label
@@ -175,9 +188,7 @@
     return;
   }
   DisarmLimit(aJob);
-  aJob.mWaitLimit = aJob.MayBeRefused()
-                      ? aJob.mArrivedAt + Admission::MaxQueueTime(aJob)
-                      : Admission::GiveUpTime(aJob);
+  aJob.mWaitLimit = mAdmission.WaitLimit(aJob);
   mByLimit.emplace(std::make_pair(*aJob.mWaitLimit, aJob.mArrivalNumber),
                    &aJob);
 }
@@ -199,10 +210,8 @@
     DispatchJob& job = *mByLimit.begin()->second;
     const TimePoint limit = *job.mWaitLimit;
     DisarmLimit(job);
-    // A job that has started since has the later of the two limits.
-    const bool isLimitOfState =
-      job.MayBeRefused() || limit >= Admission::GiveUpTime(job);
-    if (isLimitOfState) {
+    // A job that has started since has another limit.
+    if (limit >= mAdmission.WaitLimit(job)) {
       overdue.push_back(&job);
     } else {
       ArmLimit(job);
--- a/Source/Dispatch/ReadyQueue.h
+++ b/Source/Dispatch/ReadyQueue.h
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-#include "Dispatch/Admission.h"
+#include "Dispatch/AdmissionStrategy.h"
 #include "Dispatch/DispatchJob.h"
 
 namespace almondspoke::dispatch {
@@ -25,9 +25,17 @@
   /** The first jobs of the classes, with all jobs of the class. */
   using ClassesInOrder = std::map<SchedulingKey, const Jobs*>;
 
+  /** \param aAdmission tells for how long a job may wait */
+  explicit ReadyQueue(const AdmissionStrategy& aAdmission)
+    : mAdmission(aAdmission)
+  {
+  }
+
   /** Adds or removes a job according to its state, and counts its work anew.
    * Must be called after each change of the state. */
   void Update(DispatchJob& aJob);
+  /** Schedules a job after all that can be in time. */
+  void Defer(DispatchJob& aJob);
   /** Removes a job; must be called before the job is deleted. */
   void Remove(DispatchJob& aJob);
   void Clear();
@@ -41,9 +49,8 @@
    * cores are not set. */
   Backlog BacklogBefore(const DispatchJob& aJob) const;
 
-  /** Returns the jobs that have waited for longer than they may, each once per
-   * limit: the time to refuse a job that has not started, and the time to give
-   * it up. */
+  /** Returns the jobs that have waited for longer than they may in their present
+   * state, each once per limit (see AdmissionStrategy::WaitLimit). */
   std::vector<DispatchJob*> TakeOverdue(TimePoint aNow);
 
 private:
@@ -59,7 +66,8 @@
   struct ClassQueue
   {
     Jobs mJobs;
-    std::map<std::uint32_t, PriorityWork> mWork;
+    /** By mIsLate and the priority of the jobs. */
+    std::map<std::pair<bool, std::uint32_t>, PriorityWork> mWork;
     std::uint64_t mTotalWork = 0;
   };
 
@@ -74,6 +82,7 @@
   static std::uint64_t WorkBefore(const ClassQueue& aQueue,
                                   const SchedulingKey& aKey);
 
+  const AdmissionStrategy& mAdmission;
   Jobs mJobs;
   std::map<PlacementClass, ClassQueue> mClasses;
   ClassesInOrder mClassesInOrder;
--- /dev/null
+++ b/Source/Dispatch/RoomEstimator.cxx
@@ -0,0 +1,82 @@
+#include "Dispatch/RoomEstimator.h"
+
+namespace almondspoke::dispatch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Length of a measurement. Several times the time that an end takes to become
+ * known, and less than the time in which a job must start. */
+constexpr milliseconds kInterval{ 50 };
+
+/** Weight of the latest measurement. */
+constexpr double kLatestWeight = 0.3;
+
+/** A measurement is used for this long. */
+constexpr milliseconds kValidity{ 200 };
+
+}
+
+void
+RoomEstimator::OnStarted(const PoolName& aPool, double aCoreMs)
+{
+  const auto pool = mPools.find(aPool);
+  if (pool != mPools.end() && pool->second.mIsWaiting) {
+    pool->second.mStartedCoreMs += aCoreMs;
+  }
+}
+
+void
+RoomEstimator::SetWaiting(const PoolName& aPool,
+                          bool aIsWaiting,
+                          TimePoint aNow)
+{
+  const auto [entry, isNew] = mPools.try_emplace(aPool);
+  PoolRoom& pool = entry->second;
+  if (isNew || pool.mIsWaiting != aIsWaiting) {
+    pool.mIsWaiting = aIsWaiting;
+    pool.mSince = aNow;
+    pool.mIntervalBegan = aNow;
+    pool.mStartedCoreMs = 0;
+    return;
+  }
+  const auto length = aNow - pool.mIntervalBegan;
+  if (!aIsWaiting || length < kInterval) {
+    return;
+  }
+  const double cores =
+    pool.mStartedCoreMs /
+    std::chrono::duration<double, std::milli>(length).count();
+  const bool isContinued =
+    pool.mCores && pool.mIntervalBegan - pool.mMeasuredAt <= kValidity;
+  pool.mCores = isContinued ? *pool.mCores * (1 - kLatestWeight) +
+                                cores * kLatestWeight
+                            : cores;
+  pool.mMeasuredAt = aNow;
+  pool.mIntervalBegan = aNow;
+  pool.mStartedCoreMs = 0;
+}
+
+std::optional<double>
+RoomEstimator::ObservedCores(const PoolName& aPool, TimePoint aNow) const
+{
+  const auto pool = mPools.find(aPool);
+  if (pool == mPools.end() || !pool->second.mCores ||
+      aNow - pool->second.mMeasuredAt > kValidity) {
+    return std::nullopt;
+  }
+  return pool->second.mCores;
+}
+
+std::optional<RoomEstimator::TimePoint>
+RoomEstimator::FreeSince(const PoolName& aPool) const
+{
+  const auto pool = mPools.find(aPool);
+  if (pool == mPools.end() || pool->second.mIsWaiting) {
+    return std::nullopt;
+  }
+  return pool->second.mSince;
+}
+
+}
--- a/Source/Dispatch/SchedulingPass.cxx
+++ b/Source/Dispatch/SchedulingPass.cxx
@@ -1,6 +1,7 @@
 #include "Dispatch/SchedulingPass.h"
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 
 namespace almondspoke::dispatch {
@@ -13,8 +14,23 @@
 /** Number of classes that a pass looks at. */
 constexpr std::size_t kMaxClasses = 64;
 
+/** How much earlier than by its due time a job is tried for each step of its
+ * size, among those of its priority. A large task fits into few gaps, and what
+ * it leaves suits the smaller ones: with tasks of half a worker, +-20%, more
+ * jobs of each size but the smallest end in time than in the order of due
+ * times alone (AdmissionSimulationTest). */
+constexpr std::chrono::milliseconds kLeadOfSizeStep{ 60 };
+
 } // namespace
 
+SchedulingKey
+SchedulingPass::OrderOf(const Cursor& aCursor)
+{
+  SchedulingKey key = aCursor.mNext->first;
+  key.mDueAt -= kLeadOfSizeStep * aCursor.mNext->second->mClass.mSizeStep;
+  return key;
+}
+
 SchedulingPass::SchedulingPass(const ReadyQueue& aReady)
 {
   const ReadyQueue::ClassesInOrder& classes = aReady.ClassesByFirstJob();
@@ -31,7 +47,7 @@
 SchedulingPass::Next()
 {
   const auto isEarlier = [](const Cursor& aLeft, const Cursor& aRight) {
-    return aLeft.mNext->first < aRight.mNext->first;
+    return OrderOf(aLeft) < OrderOf(aRight);
   };
   const auto first =
     std::min_element(mCursors.begin(), mCursors.end(), isEarlier);
--- a/Source/Dispatch/SchedulingPass.h
+++ b/Source/Dispatch/SchedulingPass.h
@@ -34,6 +34,9 @@
     std::size_t mUnplaced = 0;
   };
 
+  /** Returns the place in the pass of the next job of a class. */
+  static SchedulingKey OrderOf(const Cursor& aCursor);
+
   std::vector<Cursor> mCursors;
   /** Index of the class of the job returned last; the number of classes if it
    * has no further jobs. */
--- a/Tests/Dispatch/ReadyQueueTest.cxx
+++ b/Tests/Dispatch/ReadyQueueTest.cxx
@@ -60,7 +60,8 @@
   const auto between = [&](int aLow, int aHigh) {
     return std::uniform_int_distribution<int>(aLow, aHigh)(random);
   };
-  ReadyQueue queue;
+  const FixedAdmission admission;
+  ReadyQueue queue(admission);
   std::vector<std::unique_ptr<DispatchJob>> jobs;
   for (int i = 0; i < 2000; ++i) {
     const auto priority = static_cast<std::uint32_t>(between(0, 3));
@@ -91,7 +92,8 @@
 
 TEST_CASE("Ready queue: a job is overdue once at each of its limits")
 {
-  ReadyQueue queue;
+  const FixedAdmission admission;
+  ReadyQueue queue(admission);
   DispatchJob job = MakeJob(1, 0, milliseconds(500), 2);
   queue.Update(job);
   CHECK(queue.TakeOverdue(kStart + milliseconds(100)).empty());
--- a/Tests/Dispatch/SimulatedInstallation.cxx
+++ b/Tests/Dispatch/SimulatedInstallation.cxx
@@ -1,5 +1,6 @@
 #include "Dispatch/SimulatedInstallation.h"
 
+#include <cmath>
 #include <utility>
 
 namespace almondspoke::testing {
@@ -13,14 +14,8 @@
 constexpr Term kTerm = 2;
 constexpr int kRelayCount = 5;
 constexpr int kDataCentres = kRelayCount + 1;
-constexpr int kWorkersOfDataCentre = 180;
-constexpr std::uint32_t kMilliCoresOfWorker = 32'000;
-constexpr std::uint32_t kMilliCoresOfTask = 16'000;
 
 constexpr milliseconds kPeerDelay{ 1 };
-/** What an order costs its relay: the exchange with the worker, and the two
- * messages from and to the leader. */
-constexpr Cost kExchangeCost{ 600 };
 constexpr Cost kPeerMessageCost{ 200 };
 constexpr Cost kConnectCost{ 1000 };
 /** What a message costs the leader, which handles those of all relays. */
@@ -30,19 +25,18 @@
 
 constexpr milliseconds kCallerPatience{ 1500 };
 
-/** \brief What the jobs of a queue need. */
-struct QueueModel
-{
-  const char* mName;
-  milliseconds mDuration;
-  /** Jobs of this queue out of each ten. */
-  int mShareOfTen;
-};
+constexpr double kSlackFactor = 1.6;
+constexpr milliseconds kLatencyTarget{ 60 };
+/** A late answer is of use up to this multiple of the objective. */
+constexpr int kUsefulObjectives = 3;
 
-constexpr QueueModel kQueues[] = {
-  { "urgent", milliseconds(60), 3 },
-  { "patient", milliseconds(200), 7 },
-};
+CoordinatorOptions
+OptionsOf(const InstallationModel& aModel)
+{
+  CoordinatorOptions options;
+  options.mAdmission = aModel.mAdmission;
+  return options;
+}
 
 std::string
 DataCentreName(int aNumber)
@@ -75,7 +69,7 @@
       }
     };
   mFleet.After(aTimeout, [finish] { finish({}); });
-  const Cost cost = kExchangeCost + (isNew ? kConnectCost : Cost(0));
+  const Cost cost = mExchangeCost + (isNew ? kConnectCost : Cost(0));
   mProcessor.Handle(cost / 2, [this, cost, aOrder, aTimeout, aDeliver, finish] {
     (mFleet.*
      aDeliver)(aOrder, aTimeout, [this, cost, finish](const Answer& aAnswer) {
@@ -163,8 +157,11 @@
   OrderRelay mRelay;
 };
 
-SimulatedInstallation::SimulatedInstallation(std::uint64_t aSeed)
-  : mFleet(mClock, aSeed)
+SimulatedInstallation::SimulatedInstallation(std::uint64_t aSeed,
+                                             InstallationModel aModel)
+  : mModel(std::move(aModel))
+  , mRandom(aSeed)
+  , mFleet(mClock, aSeed)
   , mLog(mClock, mSink)
   , mGroup(mFleet)
   , mProcessor(mFleet)
@@ -177,7 +174,7 @@
            mRelayDirectory,
            [] { return std::make_optional(kTerm); })
   , mRecords(mGroup)
-  , mCoordinator(std::make_unique<Coordinator>(CoordinatorOptions{},
+  , mCoordinator(std::make_unique<Coordinator>(OptionsOf(mModel),
                                                mClock,
                                                mCalls,
                                                *this,
@@ -190,10 +187,17 @@
   Manifest manifest;
   manifest.mVersion = 1;
   manifest.mPools.push_back({ "pool", false, 64 });
-  manifest.mQueues.push_back(
-    { "urgent", "desk", "/urgent/", "pool", 0, 2, 1500, 1.6, 60 });
-  manifest.mQueues.push_back(
-    { "patient", "desk", "/patient/", "pool", 2, 2, 1500, 1.6, 60 });
+  for (const QueueModel& queue : mModel.mQueues) {
+    manifest.mQueues.push_back({ queue.mName,
+                                 "desk",
+                                 "/" + std::string(queue.mName) + "/",
+                                 "pool",
+                                 queue.mPriority,
+                                 2,
+                                 kCallerPatience.count(),
+                                 kSlackFactor,
+                                 kLatencyTarget.count() });
+  }
   mCoordinator->SetManifest(std::make_shared<const Manifest>(manifest));
   RecordBatch begin;
   begin.mFence = kTerm;
@@ -207,9 +211,9 @@
 void
 SimulatedInstallation::AddWorkers()
 {
-  for (int i = 0; i < kDataCentres * kWorkersOfDataCentre; ++i) {
+  for (int i = 0; i < kDataCentres * mModel.mWorkersOfDataCentre; ++i) {
     WorkerReport report =
-      mFleet.AddWorker("w" + std::to_string(i), kMilliCoresOfWorker);
+      mFleet.AddWorker("w" + std::to_string(i), mModel.mMilliCoresOfWorker);
     report.mDataCentre = DataCentreName(i % kDataCentres);
     mReports.push_back(report);
   }
@@ -218,9 +222,11 @@
 void
 SimulatedInstallation::AddRelays()
 {
+  mDirect.SetExchangeCost(mModel.mExchangeCost);
   for (int i = 0; i < kRelayCount; ++i) {
     const std::string name = DataCentreName(i);
     mRelays.push_back(std::make_unique<Relay>(*this, name));
+    mRelays.back()->mCalls.SetExchangeCost(mModel.mExchangeCost);
     mRpc.mPeers[name] = &mRelays.back()->mRpc;
     mRelayDirectory.Update(name, name, true, PeerTimeOf(mClock));
   }
@@ -277,15 +283,51 @@
   }
 }
 
+const QueueModel&
+SimulatedInstallation::QueueOf(CallId aCall) const
+{
+  constexpr int kTen = 10;
+  int left = static_cast<int>(aCall % kTen);
+  for (const QueueModel& queue : mModel.mQueues) {
+    left -= queue.mShareOfTen;
+    if (left < 0) {
+      return queue;
+    }
+  }
+  return mModel.mQueues.back();
+}
+
+milliseconds
+SimulatedInstallation::DrawDuration(const QueueModel& aQueue)
+{
+  std::normal_distribution<double> spread(0, 1);
+  const double factor = std::exp(mModel.mDurationSpread * spread(mRandom));
+  return milliseconds(static_cast<std::int64_t>(
+    static_cast<double>(aQueue.mDuration.count()) * factor));
+}
+
+std::uint32_t
+SimulatedInstallation::DrawMilliCores()
+{
+  std::uniform_real_distribution<double> spread(-mModel.mTaskSpread,
+                                                mModel.mTaskSpread);
+  return static_cast<std::uint32_t>(mModel.mMilliCoresOfTask *
+                                    (1.0 + spread(mRandom)));
+}
+
 void
 SimulatedInstallation::Submit(Figures& aFigures)
 {
   const CallId id = ++mLastCall;
-  const bool isUrgent = static_cast<int>(id % 10) < kQueues[0].mShareOfTen;
-  const QueueModel& queue = isUrgent ? kQueues[0] : kQueues[1];
+  const QueueModel& queue = QueueOf(id);
+  const milliseconds duration = DrawDuration(queue);
+  const double logError = std::log(mModel.mEstimateError);
+  std::uniform_real_distribution<double> error(-logError, logError);
+  const double estimate =
+    static_cast<double>(duration.count()) * std::exp(error(mRandom));
   const std::string job = "job" + std::to_string(id);
-  const Resources needs{ kMilliCoresOfTask, 64, 0 };
-  mFleet.DescribeJob(job, { needs, queue.mDuration, false });
+  const Resources needs{ DrawMilliCores(), 64, 0 };
+  mFleet.DescribeJob(job, { needs, duration, false });
   JobCall call;
   call.mKind = JobCallKind::Submit;
   call.mHost = "desk";
@@ -293,13 +335,21 @@
   call.mWaitMs = kCallerPatience.count();
   call.mJob.mBestEffort = true;
   StepSpec step;
-  step.mCount = kTasksOfJob;
+  step.mCount = queue.mTasksOfJob;
   step.mNeeds = needs;
-  step.mEstimateMs = static_cast<std::uint32_t>(queue.mDuration.count());
+  step.mEstimateMs = static_cast<std::uint32_t>(estimate);
   call.mJob.mSteps.push_back(step);
   QueueFigures& figures = aFigures[queue.mName];
   ++figures.mOffered;
-  mOpen[id] = { &figures, mClock.MonotonicNow() + kCallerPatience };
+  OpenJob open;
+  open.mFigures = &figures;
+  open.mArrivedAt = mClock.MonotonicNow();
+  open.mDeadline = open.mArrivedAt + kCallerPatience;
+  open.mObjective = kLatencyTarget +
+                    milliseconds(static_cast<std::int64_t>(
+                      static_cast<double>(duration.count()) * kSlackFactor));
+  open.mJob = { queue.mName, queue.mTasksOfJob, needs.mMilliCores };
+  mOpen[id] = open;
   mProcessor.Handle(kCallCost,
                     [this, id, call] { mCoordinator->Call(id, call); });
 }
@@ -308,9 +358,14 @@
 SimulatedInstallation::Offer(double aLoad, Milliseconds aTime)
 {
   constexpr double kMillisecondsOfSecond = 1000;
+  double tasksOfTen = 0;
+  for (const QueueModel& queue : mModel.mQueues) {
+    tasksOfTen += queue.mShareOfTen * queue.mTasksOfJob;
+  }
+  constexpr double kTen = 10;
   Figures figures;
-  const double jobsOfStep =
-    aLoad * kCapacity / kTasksOfJob / kMillisecondsOfSecond;
+  const double jobsOfStep = aLoad * mModel.mTasksPerSecond /
+                            (tasksOfTen / kTen) / kMillisecondsOfSecond;
   for (std::int64_t i = 0; i < aTime.count(); ++i) {
     for (mDueJobs += jobsOfStep; mDueJobs >= 1; mDueJobs -= 1) {
       Submit(figures);
@@ -319,13 +374,58 @@
   }
   // The figures do not outlive this call: what is open counts only if its
   // caller has waited in vain.
-  for (const auto& [id, job] : mOpen) {
-    job.mFigures->mOffered -= mClock.MonotonicNow() < job.mDeadline ? 1 : 0;
+  for (auto entry = mOpen.begin(); entry != mOpen.end();) {
+    OpenJob& job = entry->second;
+    const bool hasWaitedInVain = mClock.MonotonicNow() >= job.mDeadline;
+    if (job.mFigures != nullptr) {
+      job.mFigures->mOffered -= hasWaitedInVain ? 0 : 1;
+      job.mFigures = nullptr;
+    }
+    if (!hasWaitedInVain) {
+      ++entry;
+      continue;
+    }
+    mOffered.push_back(job.mJob);
+    entry = mOpen.erase(entry);
   }
-  mOpen.clear();
   return figures;
 }
 
+std::vector<OfferedJob>
+SimulatedInstallation::TakeOffered()
+{
+  return std::exchange(mOffered, {});
+}
+
+std::size_t
+SimulatedInstallation::KnownRoomFor(std::uint32_t aMilliCores) const
+{
+  std::size_t room = 0;
+  for (const auto& [id, worker] : mCoordinator->Workers()) {
+    room += worker.IsUsable() ? worker.Free().mMilliCores / aMilliCores : 0;
+  }
+  return room;
+}
+
+JobFate
+SimulatedInstallation::FateOf(const OpenJob& aJob, const JobReply& aReply) const
+{
+  const auto now = mClock.MonotonicNow();
+  if (aReply.mKind == JobReplyKind::Refused) {
+    const bool hasRoom =
+      KnownRoomFor(aJob.mJob.mMilliCores) >= aJob.mJob.mTasks;
+    return hasRoom ? JobFate::RefusedWithRoom : JobFate::Refused;
+  }
+  const bool isServed = aReply.mKind == JobReplyKind::Accepted &&
+                        aReply.mState == JobState::Completed &&
+                        now <= aJob.mDeadline;
+  const auto took = now - aJob.mArrivedAt;
+  if (!isServed || took > aJob.mObjective * kUsefulObjectives) {
+    return JobFate::Unanswered;
+  }
+  return took <= aJob.mObjective ? JobFate::OnTime : JobFate::Late;
+}
+
 void
 SimulatedInstallation::Reply(CallId aCall, const JobReply& aReply)
 {
@@ -334,10 +434,15 @@
   if (open == mOpen.end()) {
     return;
   }
+  OpenJob& job = open->second;
   const bool isServed = aReply.mKind == JobReplyKind::Accepted &&
                         aReply.mState == JobState::Completed &&
-                        mClock.MonotonicNow() <= open->second.mDeadline;
-  open->second.mFigures->mServed += isServed ? 1 : 0;
+                        mClock.MonotonicNow() <= job.mDeadline;
+  if (job.mFigures != nullptr) {
+    job.mFigures->mServed += isServed ? 1 : 0;
+  }
+  job.mJob.mFate = FateOf(job, aReply);
+  mOffered.push_back(job.mJob);
   mOpen.erase(open);
 }
 
--- a/Tests/Dispatch/SimulatedInstallation.h
+++ b/Tests/Dispatch/SimulatedInstallation.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +31,12 @@
   {
   }
 
+  /** Sets what an order costs this instance. */
+  void SetExchangeCost(SimulatedProcessor::Cost aCost)
+  {
+    mExchangeCost = aCost;
+  }
+
   void Start(const dispatch::StartOrder& aOrder,
              std::chrono::milliseconds aTimeout,
              OrderDone aDone) override;
@@ -51,6 +59,7 @@
 
   SimulatedFleet& mFleet;
   SimulatedProcessor& mProcessor;
+  SimulatedProcessor::Cost mExchangeCost{ 600 };
   std::set<dispatch::WorkerId> mConnected;
 };
 
@@ -83,6 +92,65 @@
   std::map<std::string, Handler> mHandlers;
 };
 
+/** \brief The jobs of a queue. Sizes and durations vary from job to job by the
+ * spreads of the InstallationModel. */
+struct QueueModel
+{
+  const char* mName;
+  std::uint32_t mPriority;
+  std::chrono::milliseconds mDuration;
+  std::uint32_t mTasksOfJob;
+  /** Jobs of this queue out of each ten. */
+  int mShareOfTen;
+};
+
+/** \brief Workers, tasks and costs of a SimulatedInstallation. */
+struct InstallationModel
+{
+  int mWorkersOfDataCentre = 180;
+  std::uint32_t mMilliCoresOfWorker = 32'000;
+  std::uint32_t mMilliCoresOfTask = 16'000;
+  /** The cores of a task differ from mMilliCoresOfTask by up to this part. */
+  double mTaskSpread = 0;
+  /** Standard deviation of the logarithm of the durations of a queue. */
+  double mDurationSpread = 0;
+  /** Declared durations are wrong by up to this factor either way. */
+  double mEstimateError = 1;
+  /** What an order costs its relay: the exchange with the worker, and the two
+   * messages from and to the leader. */
+  std::chrono::microseconds mExchangeCost{ 600 };
+  /** Tasks a second that are offered at load 1. */
+  double mTasksPerSecond = 2500;
+  dispatch::AdmissionPolicy mAdmission = dispatch::AdmissionPolicy::Fixed;
+  std::vector<QueueModel> mQueues = {
+    { "urgent", 0, std::chrono::milliseconds(60), 4, 3 },
+    { "patient", 2, std::chrono::milliseconds(200), 4, 7 },
+  };
+};
+
+/** \brief What became of a job. */
+enum class JobFate : std::uint8_t
+{
+  /** Not answered in the time that its caller waits. */
+  Unanswered,
+  /** Ended within its objective. */
+  OnTime,
+  /** Ended within three times its objective. */
+  Late,
+  Refused,
+  /** Refused while by what the leader knew all of its tasks had room. */
+  RefusedWithRoom
+};
+
+/** \brief A job that was offered, and what became of it. */
+struct OfferedJob
+{
+  std::string mQueue;
+  std::uint32_t mTasks = 0;
+  std::uint32_t mMilliCores = 0;
+  JobFate mFate = JobFate::Unanswered;
+};
+
 /** \brief How the jobs of a queue fared. */
 struct QueueFigures
 {
@@ -105,7 +173,8 @@
    */
   static constexpr double kCapacity = 2500;
 
-  explicit SimulatedInstallation(std::uint64_t aSeed);
+  explicit SimulatedInstallation(std::uint64_t aSeed,
+                                 InstallationModel aModel = {});
   ~SimulatedInstallation() override;
 
   /** Offers jobs for a time and returns how those fared that were offered in
@@ -113,6 +182,10 @@
    * \param aLoad offered tasks, as a multiple of kCapacity */
   Figures Offer(double aLoad, Milliseconds aTime);
 
+  /** Returns the jobs that were offered since the last call and whose callers
+   * have an answer or wait no longer. */
+  std::vector<OfferedJob> TakeOffered();
+
   /** Runs, or what may be one, that the leader counts on the workers, without
    * those that are there. */
   std::size_t CountedButAbsentRuns() const;
@@ -125,17 +198,30 @@
   struct Relay;
   struct OpenJob
   {
-    QueueFigures* mFigures;
+    /** Null once the Offer() in which the job was offered has returned. */
+    QueueFigures* mFigures = nullptr;
     Clock::Monotonic mDeadline{};
+    Clock::Monotonic mArrivedAt{};
+    Milliseconds mObjective{ 0 };
+    OfferedJob mJob;
   };
 
   void AddWorkers();
+  const QueueModel& QueueOf(dispatch::CallId aCall) const;
+  /** Returns the duration of the tasks of a job. */
+  Milliseconds DrawDuration(const QueueModel& aQueue);
+  std::uint32_t DrawMilliCores();
+  /** Returns how many tasks of a size have room by what the leader knows. */
+  std::size_t KnownRoomFor(std::uint32_t aMilliCores) const;
+  JobFate FateOf(const OpenJob& aJob, const dispatch::JobReply& aReply) const;
   void AddRelays();
   void Submit(Figures& aFigures);
   void Step();
   void Tick();
   void TellRelayStatus(Relay& aRelay);
 
+  const InstallationModel mModel;
+  std::mt19937_64 mRandom;
   ManualClock mClock;
   SimulatedFleet mFleet;
   TextSink mSink;
@@ -162,6 +248,7 @@
   } mRecords;
   std::unique_ptr<dispatch::Coordinator> mCoordinator;
   std::map<dispatch::CallId, OpenJob> mOpen;
+  std::vector<OfferedJob> mOffered;
   dispatch::CallId mLastCall = 0;
   std::uint64_t mElapsedMs = 0;
   /** Jobs that are due and not submitted yet, in part. */
