--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -71,6 +71,7 @@
     aSettings.mWorkerReportInterval * kMissedReportsUntilExpiry;
   options.mLearnRunTimes = aSettings.mLearnRunTimes;
   options.mSpreadFactor = aSettings.mSpreadFactor;
+  options.mAdmission = aSettings.mAdmission;
   options.mSeed = std::random_device{}();
   return options;
 }
--- a/Source/Dispatch/CoordinatorRuns.cxx
+++ b/Source/Dispatch/CoordinatorRuns.cxx
@@ -119,6 +119,9 @@
     aJob.mStarted = true;
   }
   ++mCounters.mStarts;
+  mRoom.OnStarted(aJob.mQueue.mPool,
+                  static_cast<double>(step.mNeeds.mMilliCores) / 1000.0 *
+                    step.mEstimateMs);
   {
     EventLine line(mLog, "run-ordered");
     line.With("job", aTask.mJob)
@@ -167,6 +170,7 @@
   const TimePoint now = mClock.MonotonicNow();
   const auto took = duration_cast<milliseconds>(now - aOrderedAt);
   mFlow.OnEnded(aDataCentre, aOutcome, took);
+  mRoom.OnAnswered(took);
   return mWindows.OnEnded(aDataCentre, aOutcome, took, now);
 }
 
--- a/Source/Dispatch/DispatchJob.cxx
+++ b/Source/Dispatch/DispatchJob.cxx
@@ -1,6 +1,7 @@
 #include "Dispatch/DispatchJob.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace almondspoke::dispatch {
@@ -43,6 +44,17 @@
   return paths[aStep];
 }
 
+std::uint32_t
+SizeStepOf(const std::vector<StepSpec>& aSteps)
+{
+  constexpr double kStepsPerDoubling = 6;
+  std::uint32_t largest = 1;
+  for (const StepSpec& step : aSteps) {
+    largest = std::max(largest, step.mNeeds.mMilliCores);
+  }
+  return static_cast<std::uint32_t>(std::log2(largest) * kStepsPerDoubling);
+}
+
 std::uint64_t
 DispatchJob::WaitingWork() const
 {
