--- a/Source/Dispatch/ListOrders.h
+++ b/Source/Dispatch/ListOrders.h
@@ -1,10 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
-#include <deque>
-#include <map>
-#include <set>
-#include <utility>
+#include <vector>
 
 #include "Dispatch/WorkerCalls.h"
 
@@ -18,8 +16,6 @@
 class ListOrders
 {
 public:
-  using Key = std::pair<TaskId, RunNumber>;
-
   /** Records that an order was sent. Numbers increase. */
   void OnSent(std::uint64_t aOrder);
   /** Records that an order was answered or was given up. Must be called before
@@ -33,11 +29,17 @@
   std::size_t NotedRuns() const { return mOver.size(); }
 
 private:
-  std::set<std::uint64_t> mOpen;
-  /** The last order that had been sent when a run was found over. */
-  std::map<Key, std::uint64_t> mOver;
-  /** The same, in the order in which the entries are discarded. */
-  std::deque<std::pair<std::uint64_t, Key>> mByOrder;
+  struct Over
+  {
+    RunId mRun;
+    /** The last open order when the run was found over. */
+    std::uint64_t mLastSent = 0;
+  };
+
+  /** Numbers of the open orders, in rising order. */
+  std::vector<std::uint64_t> mOpen;
+  /** Runs that were found over, in this order. */
+  std::vector<Over> mOver;
 };
 
 }
--- a/Source/Dispatch/RunLedger.cxx
+++ b/Source/Dispatch/RunLedger.cxx
@@ -111,7 +111,9 @@
     return std::nullopt;
   }
   const TrackedRun run = *tracked;
-  mFound.erase({ aRun.mTask, aWorker.Report().mBoot.mId });
+  if (!mFound.empty()) {
+    mFound.erase({ aRun.mTask, aWorker.Report().mBoot.mId });
+  }
   aWorker.Remove(aRun.mTask);
   return run;
 }
@@ -186,14 +188,23 @@
                     const RunEvidence& aEvidence,
                     const std::vector<ActiveRun>& aListed)
 {
-  std::set<std::pair<TaskId, RunNumber>> listed;
+  std::vector<const TaskId*> listed;
+  listed.reserve(aListed.size());
   for (const ActiveRun& run : aListed) {
-    listed.emplace(run.mRun.mTask, run.mRun.mNumber);
+    const TrackedRun* tracked = aWorker.Find(run.mRun.mTask);
+    if (tracked != nullptr && tracked->mNumber == run.mRun.mNumber) {
+      listed.push_back(&run.mRun.mTask);
+    }
   }
+  const auto isBefore = [](const TaskId* aLeft, const TaskId* aRight) {
+    return *aLeft < *aRight;
+  };
+  std::sort(listed.begin(), listed.end(), isBefore);
   std::vector<RunId> over;
   for (const auto& [task, run] : aWorker.Runs()) {
-    if (ShowsOver(aWorker, run, aEvidence) &&
-        listed.count({ task, run.mNumber }) == 0) {
+    const bool isListed =
+      std::binary_search(listed.begin(), listed.end(), &task, isBefore);
+    if (!isListed && ShowsOver(aWorker, run, aEvidence)) {
       over.push_back({ task, run.mNumber });
     }
   }
--- a/Source/Dispatch/WorkerSession.cxx
+++ b/Source/Dispatch/WorkerSession.cxx
@@ -105,6 +105,13 @@
   return run == mRuns.end() ? nullptr : &run->second;
 }
 
+const TrackedRun*
+WorkerSession::Find(const TaskId& aTask) const
+{
+  const auto run = mRuns.find(aTask);
+  return run == mRuns.end() ? nullptr : &run->second;
+}
+
 void
 WorkerSession::Remove(const TaskId& aTask)
 {
--- a/Source/Dispatch/WorkerSession.h
+++ b/Source/Dispatch/WorkerSession.h
@@ -134,6 +134,7 @@
   /** Adds a run and reserves its resources. */
   TrackedRun& Add(const TaskId& aTask, TrackedRun aRun);
   TrackedRun* Find(const TaskId& aTask);
+  const TrackedRun* Find(const TaskId& aTask) const;
   void Remove(const TaskId& aTask);
   /** Sets the resources of a run once its job is known, so that it is no longer
    * an orphan. */
