--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -248,7 +248,9 @@
     canLearn ? run->RunTimeAt(aWorker.mListedAtClock) : milliseconds(0);
   if (isTracked) {
     aWorker.Remove(id);
-    mRunTimes.OnEnd(aWorker, mClock.MonotonicNow());
+    if (mOptions.mLearnRunTimes) {
+      mRunTimes.OnEnd(aWorker, mClock.MonotonicNow());
+    }
   }
   EventLine(mLog, "run-end")
     .With("job", id.mJob)
--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -319,7 +319,8 @@
         }
         break;
       }
-      if (mPlacementWaits.MustWait(aJob, task, *worker, now)) {
+      if (mOptions.mLearnRunTimes &&
+          mPlacementWaits.MustWait(aJob, task, *worker, now)) {
         break;
       }
       StartRun(aJob, task, *worker);
--- a/Source/Dispatch/WorkerIndex.h
+++ b/Source/Dispatch/WorkerIndex.h
@@ -83,15 +83,13 @@
   {
     bool operator()(const Position& aLeft, const Position& aRight) const
     {
-      return Tied(aLeft) < Tied(aRight);
-    }
-    static std::tuple<SpeedTier, bool, std::uint32_t, std::uint64_t> Tied(
-      const Position& aPosition)
-    {
-      return { aPosition.mTier,
-               aPosition.mIsCold,
-               aPosition.mFreeMilliCores,
-               aPosition.mNumber };
+      return std::tie(aLeft.mTier,
+                      aLeft.mIsCold,
+                      aLeft.mFreeMilliCores,
+                      aLeft.mNumber) < std::tie(aRight.mTier,
+                                                aRight.mIsCold,
+                                                aRight.mFreeMilliCores,
+                                                aRight.mNumber);
     }
   };
   using Listing = std::map<Position, WorkerSession*, Order>;
