--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -257,7 +257,7 @@
                         !wasStopping && !run->mIsOrphan && !run->mIsLearned;
   const milliseconds runTime =
     canLearn ? run->RunTimeAt(aWorker.mListedAtClock) : milliseconds(0);
-  if (isTracked) {
+  if (isTracked && mOptions.mLearnRunTimes) {
     mRunTimes.OnEnd(aWorker, mClock.MonotonicNow());
   }
   EventLine(mLog, "run-end")
