--- a/Tests/Dispatch/AdmissionSimulationTest.cxx
+++ b/Tests/Dispatch/AdmissionSimulationTest.cxx
@@ -203,7 +203,9 @@
   Outcome before = play(AdmissionPolicy::Fixed);
   Outcome after = play(AdmissionPolicy::ExpectedEnd);
   for (const char* queue : { "wide", "narrow" }) {
-    INFO(queue);
+    INFO(queue << ": in time " << before.mQueues[queue].OnTimeShare()
+               << " before, " << after.mQueues[queue].OnTimeShare()
+               << " after");
     CHECK(after.mQueues[queue].OnTimeShare() >=
           before.mQueues[queue].OnTimeShare() - kTolerance);
   }
