--- a/Utilities/Measure/DispatchMeasure.cxx
+++ b/Utilities/Measure/DispatchMeasure.cxx
@@ -152,9 +152,10 @@
   , public RecordSink
 {
 public:
-  explicit LeaderBench(int aWorkers)
+  explicit LeaderBench(int aWorkers,
+                       AdmissionPolicy aAdmission = AdmissionPolicy::Fixed)
     : mLog(mClock, mSink)
-    , mCoordinator({}, mClock, mWorkers, *this, *this, mLog)
+    , mCoordinator(OptionsOf(aAdmission), mClock, mWorkers, *this, *this, mLog)
   {
     Manifest manifest;
     manifest.mVersion = 1;
@@ -207,6 +208,12 @@
   void Store(const RecordBatch&, RecordSink::Done) override {}
 
 private:
+  static CoordinatorOptions OptionsOf(AdmissionPolicy aAdmission)
+  {
+    CoordinatorOptions options;
+    options.mAdmission = aAdmission;
+    return options;
+  }
   static WorkerReport ReportOf(int aNumber)
   {
     WorkerReport report;
@@ -344,6 +351,7 @@
 main()
 {
   std::vector<measure::Point> task;
+  std::vector<measure::Point> expectedEnd;
   std::vector<measure::Point> index;
   std::vector<measure::Point> walk;
   std::vector<measure::Point> report;
@@ -352,11 +360,17 @@
     LeaderBench leader(workers);
     task.push_back({ count, leader.MicrosecondsOfTask() });
     report.push_back({ count, leader.MicrosecondsOfReport() });
+    LeaderBench other(workers, AdmissionPolicy::ExpectedEnd);
+    expectedEnd.push_back({ count, other.MicrosecondsOfTask() });
     PlacementBench placement(workers);
     index.push_back({ count, placement.ByIndex() });
     walk.push_back({ count, placement.ByWalk() });
   }
   measure::PrintSeries("dispatch, a task in all", "workers", "us", task);
+  measure::PrintSeries("dispatch, a task in all, admission by expected end",
+                       "workers",
+                       "us",
+                       expectedEnd);
   measure::PrintSeries("dispatch, placement by index", "workers", "us", index);
   measure::PrintSeries("dispatch, placement by a walk", "workers", "us", walk);
   measure::PrintSeries(
