--- a/Utilities/Measure/DispatchMeasure.cxx
+++ b/Utilities/Measure/DispatchMeasure.cxx
@@ -152,9 +152,9 @@
   , public RecordSink
 {
 public:
-  LeaderBench(int aWorkers, bool aLearns)
+  LeaderBench(int aWorkers, const CoordinatorOptions& aOptions)
     : mLog(mClock, mSink)
-    , mCoordinator(OptionsOf(aLearns), mClock, mWorkers, *this, *this, mLog)
+    , mCoordinator(aOptions, mClock, mWorkers, *this, *this, mLog)
   {
     Manifest manifest;
     manifest.mVersion = 1;
@@ -207,13 +207,6 @@
   void Store(const RecordBatch&, RecordSink::Done) override {}
 
 private:
-  static CoordinatorOptions OptionsOf(bool aLearns)
-  {
-    CoordinatorOptions options;
-    options.mLearnRunTimes = aLearns;
-    return options;
-  }
-
   static WorkerReport ReportOf(int aNumber)
   {
     WorkerReport report;
@@ -352,16 +345,23 @@
 {
   std::vector<measure::Point> task;
   std::vector<measure::Point> learning;
+  std::vector<measure::Point> expectedEnd;
   std::vector<measure::Point> index;
   std::vector<measure::Point> walk;
   std::vector<measure::Point> report;
+  CoordinatorOptions learningOptions;
+  learningOptions.mLearnRunTimes = true;
+  CoordinatorOptions expectedEndOptions;
+  expectedEndOptions.mAdmission = AdmissionPolicy::ExpectedEnd;
   for (const int workers : kWorkerCounts) {
     const auto count = static_cast<double>(workers);
-    LeaderBench leader(workers, false);
+    LeaderBench leader(workers, {});
     task.push_back({ count, leader.MicrosecondsOfTask() });
     learning.push_back(
-      { count, LeaderBench(workers, true).MicrosecondsOfTask() });
+      { count, LeaderBench(workers, learningOptions).MicrosecondsOfTask() });
     report.push_back({ count, leader.MicrosecondsOfReport() });
+    LeaderBench other(workers, expectedEndOptions);
+    expectedEnd.push_back({ count, other.MicrosecondsOfTask() });
     PlacementBench placement(workers);
     index.push_back({ count, placement.ByIndex() });
     walk.push_back({ count, placement.ByWalk() });
@@ -369,6 +369,10 @@
   measure::PrintSeries("dispatch, a task in all", "workers", "us", task);
   measure::PrintSeries(
     "dispatch, a task in all, run times learned", "workers", "us", learning);
+  measure::PrintSeries("dispatch, a task in all, admission by expected end",
+                       "workers",
+                       "us",
+                       expectedEnd);
   measure::PrintSeries("dispatch, placement by index", "workers", "us", index);
   measure::PrintSeries("dispatch, placement by a walk", "workers", "us", walk);
   measure::PrintSeries(
