Tests: Adds crowds of clients that exceed the memory of a process

The tests start a gateway and a coordinator with memory-mb = 48 and 64, and an instance with [limits] unfinished-requests = 24MiB, and open 60 connections for each of seven behaviours. They check that the process is alive, VmHWM, its open descriptors, ordinary requests during the crowd and one request of the largest size. The new key has no effect yet.

The settings test lists the new key among the allowed ones.

--- a/Tests/Daemon/SettingsTest.cxx
+++ b/Tests/Daemon/SettingsTest.cxx
@@ -33,7 +33,8 @@
   { "[limits]\nbodyy = 1KiB\n",
     "a.ini:9: unknown key 'bodyy' in [limits] (allowed: header, body, "
     "response, connections, pipelined-requests, queued-requests, "
-    "held-bodies, decisions, idle-timeout, request-timeout)" },
+    "held-bodies, unfinished-requests, decisions, idle-timeout, "
+    "request-timeout)" },
   { "[limit]\nbody = 1KiB\n",
     "a.ini:9: unknown section [limit] (allowed: drain, endpoints, groups, "
     "instance, instances, limits, listen, log, routing, submissions)" },
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -23,6 +23,8 @@
   ChildProcess& operator=(const ChildProcess&) = delete;
   ~ChildProcess();
 
+  pid_t Id() const { return mProcess; }
+
   void Signal(int aSignal) const;
 
   /** Waits for the process to exit. \return the exit code, or the negated
