Transport: Accounts for the memory of requests at each listener

Clients that stop just before the end of their requests held up to the largest body each, and a record of 16 bytes for each chunk. RequestMemory charges an unfinished request as it arrives, and a finished one and its answer until that is written. Chunks are no longer recorded. A request that has begun has its own time limit, also behind an earlier one. Closing sockets share a buffer on the stack.

ClientLimits derives the account and the connections of each listener from memory-mb and max-descriptors; without them nothing changes. The /v1 server uses [limits] unfinished-requests.

--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -58,6 +58,16 @@
   return std::min<std::size_t>(aConfiguredLimit, usable);
 }
 
+// At most one line a second, whatever the number of refusals.
+void
+LogRefusal(const RequestRefusal& aRefusal)
+{
+  LOG_EVERY_T(WARNING, 1) << "request refused: limit="
+                          << NameOf(kRequestLimitNames, aRefusal.mLimit)
+                          << " bytes=" << aRefusal.mBytes
+                          << " held=" << aRefusal.mHeldBytes;
+}
+
 HttpServerOptions
 ServerOptionsOf(const Settings& aSettings)
 {
@@ -69,6 +79,10 @@
   options.mMaxConnections = ConnectionLimit(aSettings.mMaxConnections);
   options.mMaxPipelinedRequests = aSettings.mMaxPipelinedRequests;
   options.mIdleTimeout = aSettings.mIdleTimeout;
+  options.mHeaderTimeout = aSettings.mIdleTimeout;
+  options.mRequestTimeout = aSettings.mIdleTimeout;
+  options.mMaxUnfinishedBytes = aSettings.mMaxUnfinishedBytes;
+  options.mOnRefusal = LogRefusal;
   return options;
 }
 
@@ -207,6 +221,24 @@
     "almondspoke_rejected_inputs",
     "Inputs since the start that were no valid HTTP",
     [this] { return static_cast<double>(mServer.RejectedRequests()); });
+  mMetrics.AddGauge(
+    "almondspoke_requests_refused_for_memory",
+    "Requests since the start that were refused for want of memory",
+    [this] {
+      return static_cast<double>(mServer.MemoryCounters().mRefusedForMemory);
+    });
+  mMetrics.AddGauge("almondspoke_requests_refused_for_time",
+                    "Requests since the start that did not arrive in time",
+                    [this] {
+                      return static_cast<double>(
+                        mServer.MemoryCounters().mRefusedForTime);
+                    });
+  mMetrics.AddGauge(
+    "almondspoke_request_bytes",
+    "Memory of requests and of answers that are not yet written",
+    [this] {
+      return static_cast<double>(mServer.MemoryCounters().mHeldBytes);
+    });
   mMetrics.AddGauge(
     "almondspoke_slots_without_grantor",
     "1 while slots are a fixed part of each capacity for want of a grantor",
--- /dev/null
+++ b/Source/Dispatch/ClientLimits.cxx
@@ -0,0 +1,85 @@
+#include "Dispatch/ClientLimits.h"
+
+#include <algorithm>
+
+#include <malloc.h>
+
+namespace almondspoke::dispatch {
+
+namespace {
+
+constexpr std::size_t kMebibyte = 1024UL * 1024UL;
+
+/** Part of the memory of the process for requests and answers. As much again
+ * holds the copies made while a request is decoded and passed on. */
+constexpr std::size_t kRequestShare = 4;
+
+/** Part of the memory of the process for requests at each address of probes. */
+constexpr std::size_t kProbeShare = 64;
+
+/** Part of the memory of the process for connections, and what one takes at
+ * rest: its read buffer and its state. */
+constexpr std::size_t kConnectionShare = 4;
+constexpr std::size_t kConnectionBytes = 20480;
+
+/** Descriptors for files, peers and the log. */
+constexpr std::size_t kReservedDescriptors = 64;
+
+/** Part of the descriptors for connections. The rest is for those that are
+ * closing, for other listeners and for connections to workers. */
+constexpr std::size_t kDescriptorShare = 2;
+
+/** Connections at each address of probes if descriptors are limited. */
+constexpr std::size_t kProbeConnections = 64;
+
+constexpr std::size_t kMinConnections = 8;
+
+constexpr int kMmapThresholdBytes = 131072;
+
+std::size_t
+MaxConnections(const NodeSettings& aSettings, std::size_t aDefault)
+{
+  std::size_t connections = aDefault;
+  if (aSettings.mMemoryMegabytes > 0) {
+    connections = std::min(connections,
+                           aSettings.mMemoryMegabytes * kMebibyte /
+                             kConnectionShare / kConnectionBytes);
+  }
+  if (aSettings.mMaxDescriptors > 0) {
+    const std::size_t usable =
+      std::max<std::size_t>(aSettings.mMaxDescriptors, kReservedDescriptors) -
+      kReservedDescriptors;
+    connections = std::min(connections, usable / kDescriptorShare);
+  }
+  return std::max(connections, kMinConnections);
+}
+
+}
+
+ClientLimits
+ClientLimitsOf(const NodeSettings& aSettings)
+{
+  ClientLimits limits;
+  limits.mMain.mMaxConnections =
+    MaxConnections(aSettings, limits.mMain.mMaxConnections);
+  if (aSettings.mMaxDescriptors > 0) {
+    limits.mProbes.mMaxConnections = kProbeConnections;
+  }
+  if (aSettings.mMemoryMegabytes > 0) {
+    const std::size_t bytes = aSettings.mMemoryMegabytes * kMebibyte;
+    limits.mMain.mMaxUnfinishedBytes = bytes / kRequestShare;
+    limits.mProbes.mMaxUnfinishedBytes =
+      std::max(bytes / kProbeShare, 2 * kMebibyte);
+  }
+  return limits;
+}
+
+void
+ReturnFreedMemory(const NodeSettings& aSettings)
+{
+  if (aSettings.mMemoryMegabytes > 0) {
+    ::mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
+  }
+}
+
+}
--- /dev/null
+++ b/Source/Dispatch/ClientLimits.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <limits>
+
+#include "Dispatch/NodeSettings.h"
+
+namespace almondspoke::dispatch {
+
+/** \brief Limits of one listening address. */
+struct ListenerLimits
+{
+  std::size_t mMaxConnections = 1500;
+  /** Memory of unfinished requests, and of finished ones and their answers
+   * until these are written. */
+  std::size_t mMaxUnfinishedBytes = std::numeric_limits<std::size_t>::max();
+};
+
+/** \brief Limits of the listening addresses of an instance. */
+struct ClientLimits
+{
+  /** The address of callers or of workers and operators. */
+  ListenerLimits mMain;
+  /** The addresses of probes and metrics, each. */
+  ListenerLimits mProbes;
+};
+
+/** Derives the limits from the memory and the descriptors that the process may
+ * use. What is not set limits nothing. */
+ClientLimits
+ClientLimitsOf(const NodeSettings& aSettings);
+
+/** Makes the C library return the memory of large bodies to the system when
+ * they are freed, if the memory of the process is limited. Without this, a
+ * library that has freed one large block keeps later ones for reuse. */
+void
+ReturnFreedMemory(const NodeSettings& aSettings);
+
+}
--- a/Source/Transport/CallerParser.cxx
+++ b/Source/Transport/CallerParser.cxx
@@ -3,6 +3,7 @@
 #include <limits>
 #include <utility>
 
+#include "Transport/ArrivingRequest.h"
 #include "Transport/HttpMessage.h"
 
 namespace almondspoke::detail {
@@ -12,9 +13,20 @@
 constexpr int kAbortParsing = -1;
 constexpr unsigned kSupportedMajorVersion = 1;
 
+/** Memory that the library uses for a header field besides its text. */
+constexpr std::size_t kFieldRecordBytes = 128;
+
 thread_local std::optional<std::string> rejection;
 thread_local bool isContinueWanted = false;
 
+void
+CountBytes(std::size_t aBytes)
+{
+  if (ArrivingRequest* request = ArrivingRequest::Current()) {
+    request->AddBytes(aBytes);
+  }
+}
+
 const restinio::http_request_header_t&
 HeaderOf(const http_parser& aParser)
 {
@@ -81,6 +93,9 @@
 CallerParser::OnHeadersComplete(http_parser* aParser)
 {
   isContinueWanted = false;
+  if (ArrivingRequest* request = ArrivingRequest::Current()) {
+    request->EndHeader();
+  }
   rejection = CheckVersion(*aParser);
   if (rejection) {
     return kAbortParsing;
@@ -95,6 +110,56 @@
   return rejection ? kAbortParsing : 0;
 }
 
+int
+CallerParser::OnMessageBegin(http_parser*)
+{
+  if (ArrivingRequest* request = ArrivingRequest::Current()) {
+    request->Begin();
+  }
+  return 0;
+}
+
+int
+CallerParser::OnUrl(http_parser* aParser, const char* aText, std::size_t aSize)
+{
+  CountBytes(aSize);
+  return restinio::impl::restinio_url_cb(aParser, aText, aSize);
+}
+
+int
+CallerParser::OnField(http_parser* aParser,
+                      const char* aText,
+                      std::size_t aSize)
+{
+  const bool isNew =
+    static_cast<const restinio::impl::http_parser_ctx_t*>(aParser->data)
+      ->m_last_was_value;
+  CountBytes(aSize + (isNew ? kFieldRecordBytes : 0));
+  return restinio::impl::restinio_header_field_cb(aParser, aText, aSize);
+}
+
+int
+CallerParser::OnValue(http_parser* aParser,
+                      const char* aText,
+                      std::size_t aSize)
+{
+  CountBytes(aSize);
+  return restinio::impl::restinio_header_value_cb(aParser, aText, aSize);
+}
+
+int
+CallerParser::OnBody(http_parser* aParser, const char* aText, std::size_t aSize)
+{
+  CountBytes(aSize);
+  return restinio::impl::restinio_body_cb(aParser, aText, aSize);
+}
+
+int
+CallerParser::OnChunkHeader(http_parser*)
+{
+  return 0;
+}
+
 std::optional<std::string>
 CallerParser::TakeRejection()
 {
--- a/Source/Transport/CallerParser.h
+++ b/Source/Transport/CallerParser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -22,6 +23,24 @@
   /** Parser callback for the end of a header. */
   static int OnHeadersComplete(http_parser* aParser);
 
+  /** \name Parser callbacks that count the memory of the ArrivingRequest that
+   * the current thread parses. */
+  /**@{*/
+  static int OnMessageBegin(http_parser* aParser);
+  static int OnUrl(http_parser* aParser, const char* aText, std::size_t aSize);
+  static int OnField(http_parser* aParser,
+                     const char* aText,
+                     std::size_t aSize);
+  static int OnValue(http_parser* aParser,
+                     const char* aText,
+                     std::size_t aSize);
+  static int OnBody(http_parser* aParser, const char* aText, std::size_t aSize);
+  /**@}*/
+
+  /** Parser callback for the start of a chunk. The library's own keeps a record
+   * of each chunk, which takes many times the memory of a chunk of one byte. */
+  static int OnChunkHeader(http_parser* aParser);
+
   /** Returns and clears the reason why the last header was rejected, including
    * what is allowed. */
   static std::optional<std::string> TakeRejection();
@@ -35,7 +54,7 @@
 
 namespace restinio::impl {
 
-/** The library's default parser settings with the callback of CallerParser. */
+/** The library's default parser settings with the callbacks of CallerParser. */
 template<>
 inline http_parser_settings
 create_parser_settings<almondspoke::detail::CallerMethods>() noexcept
@@ -44,6 +63,13 @@
     create_parser_settings<default_http_methods_t>();
   settings.on_headers_complete =
     &almondspoke::detail::CallerParser::OnHeadersComplete;
+  settings.on_message_begin =
+    &almondspoke::detail::CallerParser::OnMessageBegin;
+  settings.on_url = &almondspoke::detail::CallerParser::OnUrl;
+  settings.on_header_field = &almondspoke::detail::CallerParser::OnField;
+  settings.on_header_value = &almondspoke::detail::CallerParser::OnValue;
+  settings.on_body = &almondspoke::detail::CallerParser::OnBody;
+  settings.on_chunk_header = &almondspoke::detail::CallerParser::OnChunkHeader;
   return settings;
 }
 
--- a/Source/Transport/CallerSocket.cxx
+++ b/Source/Transport/CallerSocket.cxx
@@ -23,6 +23,20 @@
 
 thread_local std::string pendingErrorResponse;
 thread_local std::shared_ptr<ConnectionState> pendingConnection;
+thread_local std::shared_ptr<ArrivingRequest> pendingRequest;
+
+std::string
+SerializeWithClose(const HttpResponse& aResponse)
+{
+  std::string text = "HTTP/1.1 " + std::to_string(aResponse.mStatus) + ' ' +
+                     std::string(ReasonPhrase(aResponse.mStatus)) + "\r\n";
+  for (const HttpField& field : aResponse.mFields) {
+    text += field.mName + ": " + field.mValue + "\r\n";
+  }
+  text += "Content-Length: " + std::to_string(aResponse.mBody.size()) +
+          "\r\nConnection: close\r\n\r\n" + aResponse.mBody;
+  return text;
+}
 
 /** \brief Reads and discards input until the peer closes or a timeout expires.
  */
@@ -59,32 +73,64 @@
     if (std::chrono::steady_clock::now() >= mTimer.expiry()) {
       return;
     }
-    mSocket.async_read_some(
-      asio::buffer(mBuffer),
-      [self = shared_from_this()](const asio::error_code& aError, std::size_t) {
-        if (!aError) {
+    mSocket.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](const asio::error_code& aError) {
+        if (!aError && self->Discard()) {
           self->Read();
         }
       });
   }
 
+  // The buffer is on the stack, so that many closing connections take no
+  // memory. Returns false once the peer has closed.
+  bool Discard()
+  {
+    std::array<char, 16384> buffer;
+    asio::error_code error;
+    mSocket.non_blocking(true, error);
+    mSocket.read_some(asio::buffer(buffer), error);
+    return !error || error == asio::error::would_block;
+  }
+
   asio::ip::tcp::socket mSocket;
   asio::steady_timer mTimer;
-  std::array<char, 16384> mBuffer{};
 };
 
 }
 
 void
-CallerSocket::SetErrorResponse(std::string aAnswer)
+CallerSocket::SetErrorResponse(const HttpResponse& aResponse)
 {
-  pendingErrorResponse = std::move(aAnswer);
+  pendingErrorResponse = SerializeWithClose(aResponse);
 }
 
 void
-CallerSocket::SetConnection(std::shared_ptr<ConnectionState> aConnection)
+CallerSocket::SetConnection(std::shared_ptr<ConnectionState> aConnection,
+                            std::shared_ptr<ArrivingRequest> aRequest)
 {
   pendingConnection = std::move(aConnection);
+  pendingRequest = std::move(aRequest);
+}
+
+CallerSocket::~CallerSocket()
+{
+  if (mRequest) {
+    mRequest->Detach();
+  }
+}
+
+bool
+CallerSocket::TakeRefusal(ArrivingRequest& aRequest)
+{
+  const auto refusal = aRequest.TakeRefusal();
+  if (!refusal) {
+    return false;
+  }
+  if (refusal->mError && aRequest.MayBeRefused()) {
+    SetErrorResponse(ErrorResponse(*refusal->mError));
+  }
+  return true;
 }
 
 std::size_t
@@ -101,6 +147,8 @@
   if (pendingConnection) {
     mConnection = std::move(pendingConnection);
     pendingConnection.reset();
+    mRequest = std::move(pendingRequest);
+    pendingRequest.reset();
   }
   if (CallerParser::TakeContinueWanted() && mConnection) {
     mConnection->CallWhenIdle([this] { SendContinue(); });
@@ -136,6 +184,9 @@
   if (mConnection) {
     mConnection->CallWhenIdle(nullptr);
   }
+  if (mRequest) {
+    mRequest->Detach();
+  }
   CallerParser::TakeContinueWanted();
   asio::error_code ignored;
   mSocket.cancel(ignored);
--- a/Source/Transport/CallerSocket.h
+++ b/Source/Transport/CallerSocket.h
@@ -1,14 +1,20 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
-#include <string>
 #include <utility>
 
+#include <asio/associated_executor.hpp>
+#include <asio/bind_executor.hpp>
+#include <asio/error.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 
+#include "Transport/ArrivingRequest.h"
 #include "Transport/ConnectionTable.h"
 #include "Transport/ContextPool.h"
+#include "Transport/HttpMessage.h"
 
 namespace restinio::impl {
 class tls_socket_t;
@@ -25,6 +31,10 @@
  * because closing a socket with unread input resets the connection, which can
  * destroy responses that are still in transit.
  *
+ * After each read, the memory of the request that is being received is charged
+ * to the account of the server. If the request is refused, the next read fails,
+ * so that the library closes the connection.
+ *
  * When the library starts to read the body of a caller that waits for a 100
  * response, this socket sends the 100 after all earlier answers. */
 class CallerSocket
@@ -40,14 +50,20 @@
     : mSocket(ContextPool::ForConnection(aContext))
   {
   }
+  CallerSocket(CallerSocket&&) = default;
+  CallerSocket& operator=(CallerSocket&&) = delete;
+  CallerSocket(const CallerSocket&) = delete;
+  CallerSocket& operator=(const CallerSocket&) = delete;
+  ~CallerSocket();
 
   /** Sets the response that is written to the connection that the current
    * thread closes next. */
-  static void SetErrorResponse(std::string aAnswer);
+  static void SetErrorResponse(const HttpResponse& aResponse);
 
   /** Sets the state of the next new connection that the current thread reads
    * from. */
-  static void SetConnection(std::shared_ptr<ConnectionState> aConnection);
+  static void SetConnection(std::shared_ptr<ConnectionState> aConnection,
+                            std::shared_ptr<ArrivingRequest> aRequest);
 
   /** Number of sockets in their lingering close. */
   static std::size_t LingeringCount();
@@ -66,17 +82,50 @@
     mSocket.cancel(std::forward<Arguments>(aArguments)...);
   }
 
-  template<typename... Arguments>
-  auto async_read_some(Arguments&&... aArguments)
+  template<typename Buffers, typename Handler>
+  auto async_read_some(const Buffers& aBuffers, Handler&& aHandler)
   {
     PrepareRead();
-    return mSocket.async_read_some(std::forward<Arguments>(aArguments)...);
+    const auto executor =
+      asio::get_associated_executor(aHandler, mSocket.get_executor());
+    AttachRequest(executor);
+    return mSocket.async_read_some(
+      aBuffers,
+      asio::bind_executor(
+        executor,
+        [request = mRequest, handler = std::forward<Handler>(aHandler)](
+          asio::error_code aError, std::size_t aSize) mutable {
+          if (!request) {
+            handler(aError, aSize);
+            return;
+          }
+          const ArrivingRequest::Scope scope(*request);
+          if (TakeRefusal(*request)) {
+            aError = asio::error::no_buffer_space;
+          }
+          handler(aError, aSize);
+          request->Settle();
+        }));
   }
 
-  template<typename... Arguments>
-  auto async_write_some(Arguments&&... aArguments)
+  /** After a write, the library may parse requests that it has read before. */
+  template<typename Buffers, typename Handler>
+  auto async_write_some(const Buffers& aBuffers, Handler&& aHandler)
   {
-    return mSocket.async_write_some(std::forward<Arguments>(aArguments)...);
+    return mSocket.async_write_some(
+      aBuffers,
+      asio::bind_executor(
+        asio::get_associated_executor(aHandler, mSocket.get_executor()),
+        [request = mRequest, handler = std::forward<Handler>(aHandler)](
+          const asio::error_code& aError, std::size_t aSize) mutable {
+          if (!request) {
+            handler(aError, aSize);
+            return;
+          }
+          const ArrivingRequest::Scope scope(*request);
+          handler(aError, aSize);
+          request->Settle();
+        }));
   }
 
   void shutdown(asio::ip::tcp::socket::shutdown_type aWhat,
@@ -86,10 +135,31 @@
 
 private:
   void PrepareRead();
+
+  template<typename Executor>
+  void AttachRequest(const Executor& aExecutor)
+  {
+    if (!mRequest || mRequest->IsAttached()) {
+      return;
+    }
+    mRequest->Attach(
+      [aExecutor](ArrivingRequest::Task aTask) {
+        asio::post(aExecutor, std::move(aTask));
+      },
+      [this] {
+        asio::error_code ignored;
+        mSocket.cancel(ignored);
+      });
+  }
+
+  /** Returns whether the request is refused; sets the answer, if any. */
+  static bool TakeRefusal(ArrivingRequest& aRequest);
+
   void SendContinue();
 
   asio::ip::tcp::socket mSocket;
   std::shared_ptr<ConnectionState> mConnection;
+  std::shared_ptr<ArrivingRequest> mRequest;
 };
 
 // Functions that the HTTP library requires for a socket type. It finds them by
--- a/Source/Transport/HttpServer.cxx
+++ b/Source/Transport/HttpServer.cxx
@@ -7,9 +7,11 @@
 #include <utility>
 #include <vector>
 
+#include <asio/steady_timer.hpp>
 #include <glog/logging.h>
 #include <restinio/all.hpp>
 
+#include "Transport/ArrivingRequest.h"
 #include "Transport/CallerParser.h"
 #include "Transport/CallerSocket.h"
 #include "Transport/ConnectionTable.h"
@@ -19,15 +21,28 @@
 
 namespace {
 
+using detail::ArrivalTimeouts;
+using detail::ArrivingRequest;
 using detail::CallerMethods;
 using detail::CallerParser;
 using detail::CallerSocket;
 using detail::ConnectionState;
 using detail::ConnectionTable;
+using detail::HeldMemory;
+using detail::RequestMemory;
 
 /** \brief State that is shared by all parts of one server. */
 struct ServerState
 {
+  explicit ServerState(const HttpServerOptions& aOptions)
+    : mMemory(std::make_shared<RequestMemory>(aOptions.mMaxUnfinishedBytes,
+                                              aOptions.mOnRefusal))
+    , mTimeouts{ aOptions.mHeaderTimeout, aOptions.mRequestTimeout }
+  {
+  }
+
+  const std::shared_ptr<RequestMemory> mMemory;
+  const ArrivalTimeouts mTimeouts;
   ConnectionTable mConnections;
   std::atomic<std::size_t> mOutstanding{ 0 };
   std::atomic<std::size_t> mOpen{ 0 };
@@ -63,19 +78,6 @@
                                : aMessage.substr(colon + 2)));
 }
 
-std::string
-SerializeWithClose(const HttpResponse& aResponse)
-{
-  std::string text = "HTTP/1.1 " + std::to_string(aResponse.mStatus) + ' ' +
-                     std::string(ReasonPhrase(aResponse.mStatus)) + "\r\n";
-  for (const HttpField& field : aResponse.mFields) {
-    text += field.mName + ": " + field.mValue + "\r\n";
-  }
-  text += "Content-Length: " + std::to_string(aResponse.mBody.size()) +
-          "\r\nConnection: close\r\n\r\n" + aResponse.mBody;
-  return text;
-}
-
 /** \brief Detects parser errors and sets the socket's error response.
  *
  * The HTTP library only logs a parser error before it closes the connection. */
@@ -126,8 +128,8 @@
     // The caller would mistake it for the answer to an earlier request if one
     // is still outstanding.
     if (connection && connection->Outstanding() == 0) {
-      CallerSocket::SetErrorResponse(SerializeWithClose(ErrorResponse(
-        FromParserError(std::string_view(aMessage).substr(end)))));
+      CallerSocket::SetErrorResponse(
+        ErrorResponse(FromParserError(std::string_view(aMessage).substr(end))));
     }
   }
 
@@ -152,8 +154,11 @@
     using restinio::connection_state::closed_t;
     const auto cause = aNotice.cause();
     if (restinio::holds_alternative<accepted_t>(cause)) {
+      const auto connection = mState->mConnections.Add(aNotice.connection_id());
       CallerSocket::SetConnection(
-        mState->mConnections.Add(aNotice.connection_id()));
+        connection,
+        std::make_shared<ArrivingRequest>(
+          mState->mMemory, connection, mState->mTimeouts));
       ++mState->mOpen;
     } else if (restinio::holds_alternative<closed_t>(cause)) {
       const auto connection =
@@ -207,8 +212,10 @@
 public:
   ServerExchange(std::shared_ptr<ServerState> aState,
                  std::shared_ptr<ConnectionState> aConnection,
-                 const restinio::request_handle_t& aRequest)
+                 const restinio::request_handle_t& aRequest,
+                 std::size_t aHeldBytes)
     : mState(std::move(aState))
+    , mHeld(mState->mMemory, aHeldBytes)
     , mConnection(std::move(aConnection))
     , mRequest(TakeRequest(*aRequest))
     , mRequestId(aRequest->request_id())
@@ -250,13 +257,16 @@
     if (mConnection->TryMarkLastAnswer(wantsClose)) {
       builder.header().should_keep_alive(false);
     }
+    mState->mMemory->Hold(aResponse.mBody.size());
+    const auto held =
+      std::make_shared<HeldMemory>(mState->mMemory, aResponse.mBody.size());
     builder.set_body(std::move(aResponse.mBody));
-    builder.done(
-      [state = mState, connection = mConnection](const asio::error_code&) {
-        if (connection->EndRequest()) {
-          --state->mOutstanding;
-        }
-      });
+    builder.done([state = mState, connection = mConnection, held](
+                   const asio::error_code&) {
+      if (connection->EndRequest()) {
+        --state->mOutstanding;
+      }
+    });
   }
 
   void Abort() override
@@ -283,6 +293,7 @@
 
 private:
   std::shared_ptr<ServerState> mState;
+  const HeldMemory mHeld;
   std::shared_ptr<ConnectionState> mConnection;
   HttpRequest mRequest;
   std::uint64_t mRequestId;
@@ -302,10 +313,11 @@
                  HttpHandler& aHandler)
     : mOptions(std::move(aOptions))
     , mHandler(aHandler)
-    , mState(std::make_shared<ServerState>())
+    , mState(std::make_shared<ServerState>(mOptions))
     , mConcurrentAccepts(ContextPool::ConnectionContexts(aContext))
     , mServer(restinio::external_io_context(aContext),
               [this](auto& aSettings) { Configure(aSettings); })
+    , mExpiryTimer(aContext)
   {
   }
 
@@ -318,10 +330,12 @@
                    "cannot listen on " + mOptions.mAddress + ':' +
                      std::to_string(mOptions.mPort) + ": " + exception.what());
     }
+    ScheduleExpiry();
     return Success();
   }
 
   void Close() { mServer.close_sync(); }
+  void StopExpiry() { mIsStopped = true; }
 
   std::uint16_t Port() const { return mPort; }
   ServerState& State() { return *mState; }
@@ -373,11 +387,32 @@
       return restinio::request_rejected();
     }
     ++mState->mOutstanding;
-    mHandler.Handle(
-      std::make_shared<ServerExchange>(mState, connection, aRequest));
+    ArrivingRequest* arriving = ArrivingRequest::Current();
+    const std::size_t bytes = arriving != nullptr ? arriving->Finish() : 0;
+    const bool hasRoom = mState->mMemory->Acquire(bytes);
+    const auto exchange = std::make_shared<ServerExchange>(
+      mState, connection, aRequest, hasRoom ? bytes : 0);
+    if (hasRoom) {
+      mHandler.Handle(exchange);
+    } else {
+      exchange->Respond(ErrorResponse(RequestMemory::ExhaustedError()));
+    }
     return restinio::request_accepted();
   }
 
+  void ScheduleExpiry()
+  {
+    constexpr std::chrono::milliseconds kExpiryInterval{ 200 };
+    mExpiryTimer.expires_after(kExpiryInterval);
+    mExpiryTimer.async_wait([this](const asio::error_code& aError) {
+      if (aError || mIsStopped) {
+        return;
+      }
+      mState->mMemory->RefuseExpired(std::chrono::steady_clock::now());
+      ScheduleExpiry();
+    });
+  }
+
   static constexpr std::size_t kReadBufferBytes = 16384;
 
   HttpServerOptions mOptions;
@@ -389,6 +424,8 @@
   const std::size_t mConcurrentAccepts;
   std::uint16_t mPort = 0;
   Server mServer;
+  asio::steady_timer mExpiryTimer;
+  std::atomic<bool> mIsStopped{ false };
 };
 
 HttpServer::HttpServer(asio::io_context& aContext,
@@ -409,6 +446,7 @@
     *std::make_unique<std::vector<std::shared_ptr<Implementation>>>().release();
   static std::mutex mutex;
   mImplementation->Close();
+  mImplementation->StopExpiry();
   const std::lock_guard<std::mutex> lock(mutex);
   kept.push_back(std::move(mImplementation));
 }
@@ -449,6 +487,12 @@
   return mImplementation->State().mOpen + CallerSocket::LingeringCount();
 }
 
+RequestMemoryCounters
+HttpServer::MemoryCounters() const
+{
+  return mImplementation->State().mMemory->Counters();
+}
+
 std::uint64_t
 HttpServer::RejectedRequests() const
 {
--- a/Source/Transport/HttpServer.h
+++ b/Source/Transport/HttpServer.h
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -11,6 +11,7 @@
 
 #include "Base/Result.h"
 #include "Transport/HttpExchange.h"
+#include "Transport/RequestMemory.h"
 
 namespace almondspoke {
 
@@ -29,8 +30,19 @@
   std::size_t mMaxConnections = 4096;
   /** Number of requests that one connection may have in progress. */
   std::size_t mMaxPipelinedRequests = 16;
+  /** Maximum memory of unfinished requests, and of finished ones and their
+   * answers until these are written. */
+  std::size_t mMaxUnfinishedBytes = std::numeric_limits<std::size_t>::max();
   /** Maximum time to receive a request, and to keep an idle connection. */
   std::chrono::milliseconds mIdleTimeout{ 60000 };
+  /** Maximum times from the first byte of a request to the end of its header,
+   * and to its end. Apply also while an earlier request of the connection is in
+   * progress, but then only once that is answered. */
+  std::chrono::milliseconds mHeaderTimeout{ 60000 };
+  std::chrono::milliseconds mRequestTimeout{ 60000 };
+  /** Called for each request that is refused for its memory or time, on any
+   * thread that runs the server; may be empty. */
+  RequestRefusalObserver mOnRefusal;
   /** Maximum time to answer a request; then the connection is closed. */
   std::chrono::milliseconds mHandlingTimeout{ 3600000 };
 };
@@ -71,6 +83,8 @@
   /** Number of connections that are open or in their lingering close. */
   std::size_t OpenConnections() const;
 
+  RequestMemoryCounters MemoryCounters() const;
+
   /** Number of requests that the parser has rejected. */
   std::uint64_t RejectedRequests() const;
 
