Dispatch: Applies the limits of the manifest to callers' requests

The manifest states limits of header, body and time, which no listener applied. The manifest codec reads them, a coordinator sends them with its LeaderStatus, as appended fields, and the gateway sets them at its callers' server. A limit that is missing or odd is none, and the limits without a manifest remain in force. A manifest stored without limits stays readable.

--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -79,8 +79,8 @@
   options.mMaxConnections = ConnectionLimit(aSettings.mMaxConnections);
   options.mMaxPipelinedRequests = aSettings.mMaxPipelinedRequests;
   options.mIdleTimeout = aSettings.mIdleTimeout;
-  options.mHeaderTimeout = aSettings.mIdleTimeout;
-  options.mRequestTimeout = aSettings.mIdleTimeout;
+  options.mRequestLimits.mHeaderTimeout = aSettings.mIdleTimeout;
+  options.mRequestLimits.mRequestTimeout = aSettings.mIdleTimeout;
   options.mMaxUnfinishedBytes = aSettings.mMaxUnfinishedBytes;
   options.mOnRefusal = LogRefusal;
   return options;
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -169,6 +169,11 @@
    * leader. */
   bool IsFencedOut() const { return mFencedOut; }
   /** Version of the current manifest, or zero if there is none. */
+  CallerLimits CurrentCallerLimits() const
+  {
+    return mManifest ? mManifest->mLimits : CallerLimits();
+  }
+
   std::uint64_t CurrentManifestVersion() const
   {
     return mManifest ? mManifest->mVersion : 0;
--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -247,6 +247,8 @@
   status.mDataCentre = mSettings.mDataCentre;
   status.mRelaysOrders = !mOrderRelay.IsDraining();
   status.mClock = PeerTimeOf(mClock);
+  status.mManifestVersion = mCoordinator.CurrentManifestVersion();
+  status.mCallerLimits = mCoordinator.CurrentCallerLimits();
   status.mTerm = mGroup->CurrentTerm();
   status.mLeader = mGroup->Leader().value_or("");
   status.mMembers = mContacts.Contacted();
--- a/Source/Dispatch/GatewayNode.cxx
+++ b/Source/Dispatch/GatewayNode.cxx
@@ -1,5 +1,7 @@
 #include "Dispatch/GatewayNode.h"
 
+#include <utility>
+
 #include "Dispatch/PeerNames.h"
 
 namespace almondspoke::dispatch {
@@ -41,6 +43,12 @@
   mFinder.AddSeeds(SeedNamesOf(aSettings));
 }
 
+void
+GatewayNode::OnLimits(std::function<void(const CallerLimits&)> aObserver)
+{
+  mLimitsObserver = std::move(aObserver);
+}
+
 void
 GatewayNode::ScheduleTick()
 {
@@ -51,6 +59,10 @@
     }
     mFinder.Tick();
     mGateway.Tick();
+    if (mLimitsObserver && !(mFinder.Limits() == mReportedLimits)) {
+      mReportedLimits = mFinder.Limits();
+      mLimitsObserver(mReportedLimits);
+    }
     mLog.Flush();
     ScheduleTick();
   });
--- a/Source/Dispatch/GatewayNode.h
+++ b/Source/Dispatch/GatewayNode.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
@@ -37,6 +39,10 @@
   /** Adds coordinators to query, for example after a change of settings. */
   void AddSeeds(const NodeSettings& aSettings);
 
+  /** Sets a function that is called with the limits of the manifest in force
+   * once they are known, and whenever they change. */
+  void OnLimits(std::function<void(const CallerLimits&)> aObserver);
+
   JobService& Jobs() { return mGateway; }
   const Gateway& GetGateway() const { return mGateway; }
   bool IsReady() const { return !mDraining && mGateway.IsReady(); }
@@ -49,6 +55,8 @@
   asio::steady_timer mTimer;
   LeaderFinder mFinder;
   Gateway mGateway;
+  std::function<void(const CallerLimits&)> mLimitsObserver;
+  CallerLimits mReportedLimits;
   bool mDraining = false;
 };
 
--- a/Source/Dispatch/JobMessages.h
+++ b/Source/Dispatch/JobMessages.h
@@ -10,6 +10,7 @@
 
 #include "Base/EnumNames.h"
 #include "Dispatch/JobSubmission.h"
+#include "Dispatch/Manifest.h"
 #include "Dispatch/PeerTime.h"
 
 namespace almondspoke::dispatch {
@@ -178,6 +179,10 @@
   bool mRelaysOrders = false;
   /** Clock of the answering coordinator. */
   PeerTime mClock = 0;
+  /** Version and limits of the manifest in force at the answering coordinator;
+   * zero if it has none. */
+  std::uint64_t mManifestVersion = 0;
+  CallerLimits mCallerLimits;
 
   MSGPACK_DEFINE(mLeads,
                  mTerm,
@@ -186,7 +191,9 @@
                  mLeadsLocally,
                  mDataCentre,
                  mRelaysOrders,
-                 mClock)
+                 mClock,
+                 mManifestVersion,
+                 mCallerLimits)
 };
 
 /** \brief Requests the LeaderStatus of a coordinator. */
--- a/Source/Dispatch/LeaderFinder.cxx
+++ b/Source/Dispatch/LeaderFinder.cxx
@@ -182,6 +182,7 @@
       mCoordinators.insert(member);
     }
   }
+  HandleLimits(aStatus);
   HandleLocalStatus(aFrom, aStatus);
   if (!aStatus.mLeads) {
     if (mLeader == aFrom) {
@@ -205,6 +206,27 @@
   mLeaderSuspected = false;
 }
 
+// Versions of the manifest only increase, so that a coordinator that lags
+// behind does not bring back older limits.
+void
+LeaderFinder::HandleLimits(const LeaderStatus& aStatus)
+{
+  if (aStatus.mManifestVersion <= mLimitsVersion) {
+    return;
+  }
+  mLimitsVersion = aStatus.mManifestVersion;
+  if (aStatus.mCallerLimits == mLimits) {
+    return;
+  }
+  mLimits = aStatus.mCallerLimits;
+  EventLine(mLog, "caller-limits")
+    .With("manifest", mLimitsVersion)
+    .With("header_bytes", mLimits.mMaxHeaderBytes)
+    .With("body_bytes", mLimits.mMaxBodyBytes)
+    .With("header_timeout_ms", mLimits.mHeaderTimeoutMs)
+    .With("idle_timeout_ms", mLimits.mIdleTimeoutMs);
+}
+
 // If several local leaders answer, keeps the one that was found first.
 void
 LeaderFinder::HandleLocalStatus(const InstanceName& aFrom,
--- a/Source/Dispatch/LeaderFinder.h
+++ b/Source/Dispatch/LeaderFinder.h
@@ -49,6 +49,9 @@
    * centre needs a local leader. */
   bool WantsLocalLeader() const;
 
+  /** Limits of the newest manifest that a leader has reported. */
+  const CallerLimits& Limits() const { return mLimits; }
+
   /** Sets the calls (CallKeyOf) that an elected leader may still act on. They
    * are sent to the local leader, which must not run them. */
   void SetUnresolved(std::vector<std::string> aKeys);
@@ -69,6 +72,7 @@
   std::optional<InstanceName> LocalLeaderCandidate() const;
   void OnAnswer(const InstanceName& aFrom, const Result<std::string>& aAnswer);
   void HandleStatus(const InstanceName& aFrom, const LeaderStatus& aStatus);
+  void HandleLimits(const LeaderStatus& aStatus);
   void HandleLocalStatus(const InstanceName& aFrom,
                          const LeaderStatus& aStatus);
 
@@ -93,6 +97,8 @@
   std::map<InstanceName, TimePoint> mLocalCoordinators;
   std::optional<InstanceName> mLocalLeader;
   TimePoint mLocalLeaderAnsweredAt{};
+  std::uint64_t mLimitsVersion = 0;
+  CallerLimits mLimits;
 };
 
 }
--- a/Source/Dispatch/Manifest.h
+++ b/Source/Dispatch/Manifest.h
@@ -57,6 +57,31 @@
   MSGPACK_DEFINE(mName, mEnforcesCapacity, mMaxConnections)
 };
 
+/** \brief Limits on callers' requests; zero if the manifest states none. */
+struct CallerLimits
+{
+  std::uint32_t mMaxHeaderBytes = 0;
+  std::uint32_t mMaxBodyBytes = 0;
+  /** Time from the first byte of a request to the end of its header. */
+  std::uint32_t mHeaderTimeoutMs = 0;
+  /** Time from the first byte of a request to its end. */
+  std::uint32_t mIdleTimeoutMs = 0;
+
+  MSGPACK_DEFINE(mMaxHeaderBytes,
+                 mMaxBodyBytes,
+                 mHeaderTimeoutMs,
+                 mIdleTimeoutMs)
+};
+
+inline bool
+operator==(const CallerLimits& aLeft, const CallerLimits& aRight)
+{
+  return aLeft.mMaxHeaderBytes == aRight.mMaxHeaderBytes &&
+         aLeft.mMaxBodyBytes == aRight.mMaxBodyBytes &&
+         aLeft.mHeaderTimeoutMs == aRight.mHeaderTimeoutMs &&
+         aLeft.mIdleTimeoutMs == aRight.mIdleTimeoutMs;
+}
+
 /** \brief Configuration of the queues and pools; always replaced as a whole. */
 struct Manifest
 {
@@ -66,8 +91,9 @@
   std::vector<Pool> mPools;
   /** The document exactly as the operator sent it, to return it unchanged. */
   std::string mText;
+  CallerLimits mLimits;
 
-  MSGPACK_DEFINE(mVersion, mQueues, mPools, mText)
+  MSGPACK_DEFINE(mVersion, mQueues, mPools, mText, mLimits)
 };
 
 /** \brief A queue and the part of a request's path after the queue's prefix. */
--- a/Source/Transport/ArrivingRequest.cxx
+++ b/Source/Transport/ArrivingRequest.cxx
@@ -28,10 +28,10 @@
 
 ArrivingRequest::ArrivingRequest(std::shared_ptr<RequestMemory> aMemory,
                                  std::shared_ptr<ConnectionState> aConnection,
-                                 ArrivalTimeouts aTimeouts)
+                                 std::shared_ptr<const ArrivalLimits> aLimits)
   : mMemory(std::move(aMemory))
   , mConnection(std::move(aConnection))
-  , mTimeouts(aTimeouts)
+  , mLimits(std::move(aLimits))
 {
 }
 
@@ -47,6 +47,24 @@
   mHasHeader = false;
   mIsCharged = false;
   mBytes = 0;
+  mHeaderBytes = 0;
+  mBodyBytes = 0;
+}
+
+bool
+ArrivingRequest::AddHeader(std::size_t aBytes)
+{
+  mBytes += aBytes;
+  mHeaderBytes += aBytes;
+  return mHeaderBytes <= mLimits->MaxHeaderBytes();
+}
+
+bool
+ArrivingRequest::AddBody(std::size_t aBytes)
+{
+  mBytes += aBytes;
+  mBodyBytes += aBytes;
+  return mBodyBytes <= mLimits->MaxBodyBytes();
 }
 
 std::size_t
@@ -80,8 +98,8 @@
   }
   mMemory->Update(*this,
                   mBytes,
-                  mBeganAt +
-                    (mHasHeader ? mTimeouts.mRequest : mTimeouts.mHeader));
+                  mBeganAt + (mHasHeader ? mLimits->RequestTimeout()
+                                         : mLimits->HeaderTimeout()));
 }
 
 void
--- a/Source/Transport/ArrivingRequest.h
+++ b/Source/Transport/ArrivingRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -13,11 +14,31 @@
 
 namespace almondspoke::detail {
 
-/** \brief Maximum times from the first byte of a request. */
-struct ArrivalTimeouts
+/** \brief The RequestLimits of a server, which may change while it runs.
+ * Thread-safe. */
+class ArrivalLimits
 {
-  std::chrono::milliseconds mHeader{ 60000 };
-  std::chrono::milliseconds mRequest{ 60000 };
+public:
+  explicit ArrivalLimits(const RequestLimits& aLimits) { Set(aLimits); }
+
+  void Set(const RequestLimits& aLimits)
+  {
+    mMaxHeaderBytes = aLimits.mMaxHeaderBytes;
+    mMaxBodyBytes = aLimits.mMaxBodyBytes;
+    mHeaderTimeout = aLimits.mHeaderTimeout;
+    mRequestTimeout = aLimits.mRequestTimeout;
+  }
+
+  std::size_t MaxHeaderBytes() const { return mMaxHeaderBytes; }
+  std::size_t MaxBodyBytes() const { return mMaxBodyBytes; }
+  std::chrono::milliseconds HeaderTimeout() const { return mHeaderTimeout; }
+  std::chrono::milliseconds RequestTimeout() const { return mRequestTimeout; }
+
+private:
+  std::atomic<std::size_t> mMaxHeaderBytes{ 0 };
+  std::atomic<std::size_t> mMaxBodyBytes{ 0 };
+  std::atomic<std::chrono::milliseconds> mHeaderTimeout{};
+  std::atomic<std::chrono::milliseconds> mRequestTimeout{};
 };
 
 /** \brief The request that one connection is receiving.
@@ -34,7 +55,7 @@
 
   ArrivingRequest(std::shared_ptr<RequestMemory> aMemory,
                   std::shared_ptr<ConnectionState> aConnection,
-                  ArrivalTimeouts aTimeouts);
+                  std::shared_ptr<const ArrivalLimits> aLimits);
   ArrivingRequest(const ArrivingRequest&) = delete;
   ArrivingRequest& operator=(const ArrivingRequest&) = delete;
   ~ArrivingRequest() override;
@@ -56,7 +77,13 @@
   static ArrivingRequest* Current();
 
   void Begin();
-  void AddBytes(std::size_t aBytes) { mBytes += aBytes; }
+  /** Counts memory that is not text of the request. */
+  void AddRecord(std::size_t aBytes) { mBytes += aBytes; }
+  /** Counts text of the header. Returns false if it exceeds its limit. */
+  bool AddHeader(std::size_t aBytes);
+  /** Counts text of the body. Returns false if it exceeds its limit. */
+  bool AddBody(std::size_t aBytes);
+  std::size_t MaxBodyBytes() const { return mLimits->MaxBodyBytes(); }
   void EndHeader() { mHasHeader = true; }
 
   /** Ends the charge of a request that has arrived completely.
@@ -91,11 +118,13 @@
 
   const std::shared_ptr<RequestMemory> mMemory;
   const std::shared_ptr<ConnectionState> mConnection;
-  const ArrivalTimeouts mTimeouts;
+  const std::shared_ptr<const ArrivalLimits> mLimits;
   bool mHasBegun = false;
   bool mHasHeader = false;
   bool mIsCharged = false;
   std::size_t mBytes = 0;
+  std::size_t mHeaderBytes = 0;
+  std::size_t mBodyBytes = 0;
   RequestMemory::Time mBeganAt{};
 
   mutable std::mutex mMutex;
--- a/Source/Transport/CallerParser.cxx
+++ b/Source/Transport/CallerParser.cxx
@@ -19,12 +19,22 @@
 thread_local std::optional<std::string> rejection;
 thread_local bool isContinueWanted = false;
 
-void
-CountBytes(std::size_t aBytes)
+// Returns false if the header exceeds its limit.
+bool
+CountHeader(std::size_t aBytes)
 {
-  if (ArrivingRequest* request = ArrivingRequest::Current()) {
-    request->AddBytes(aBytes);
-  }
+  ArrivingRequest* request = ArrivingRequest::Current();
+  return request == nullptr || request->AddHeader(aBytes);
+}
+
+bool
+IsBodyTooLarge(const http_parser& aParser)
+{
+  const ArrivingRequest* request = ArrivingRequest::Current();
+  const bool hasLength =
+    aParser.content_length != std::numeric_limits<std::uint64_t>::max();
+  return request != nullptr && hasLength &&
+         aParser.content_length > request->MaxBodyBytes();
 }
 
 const restinio::http_request_header_t&
@@ -97,7 +107,7 @@
     request->EndHeader();
   }
   rejection = CheckVersion(*aParser);
-  if (rejection) {
+  if (rejection || IsBodyTooLarge(*aParser)) {
     return kAbortParsing;
   }
   // Only this library callback adds a trailing field that has no value.
@@ -122,7 +132,9 @@
 int
 CallerParser::OnUrl(http_parser* aParser, const char* aText, std::size_t aSize)
 {
-  CountBytes(aSize);
+  if (!CountHeader(aSize)) {
+    return kAbortParsing;
+  }
   return restinio::impl::restinio_url_cb(aParser, aText, aSize);
 }
 
@@ -134,7 +146,13 @@
   const bool isNew =
     static_cast<const restinio::impl::http_parser_ctx_t*>(aParser->data)
       ->m_last_was_value;
-  CountBytes(aSize + (isNew ? kFieldRecordBytes : 0));
+  ArrivingRequest* request = ArrivingRequest::Current();
+  if (request != nullptr && isNew) {
+    request->AddRecord(kFieldRecordBytes);
+  }
+  if (!CountHeader(aSize)) {
+    return kAbortParsing;
+  }
   return restinio::impl::restinio_header_field_cb(aParser, aText, aSize);
 }
 
@@ -143,14 +161,19 @@
                       const char* aText,
                       std::size_t aSize)
 {
-  CountBytes(aSize);
+  if (!CountHeader(aSize)) {
+    return kAbortParsing;
+  }
   return restinio::impl::restinio_header_value_cb(aParser, aText, aSize);
 }
 
 int
 CallerParser::OnBody(http_parser* aParser, const char* aText, std::size_t aSize)
 {
-  CountBytes(aSize);
+  ArrivingRequest* request = ArrivingRequest::Current();
+  if (request != nullptr && !request->AddBody(aSize)) {
+    return kAbortParsing;
+  }
   return restinio::impl::restinio_body_cb(aParser, aText, aSize);
 }
 
--- a/Source/Transport/HttpServer.cxx
+++ b/Source/Transport/HttpServer.cxx
@@ -21,7 +21,7 @@
 
 namespace {
 
-using detail::ArrivalTimeouts;
+using detail::ArrivalLimits;
 using detail::ArrivingRequest;
 using detail::CallerMethods;
 using detail::CallerParser;
@@ -37,12 +37,12 @@
   explicit ServerState(const HttpServerOptions& aOptions)
     : mMemory(std::make_shared<RequestMemory>(aOptions.mMaxUnfinishedBytes,
                                               aOptions.mOnRefusal))
-    , mTimeouts{ aOptions.mHeaderTimeout, aOptions.mRequestTimeout }
+    , mLimits(std::make_shared<ArrivalLimits>(aOptions.mRequestLimits))
   {
   }
 
   const std::shared_ptr<RequestMemory> mMemory;
-  const ArrivalTimeouts mTimeouts;
+  const std::shared_ptr<ArrivalLimits> mLimits;
   ConnectionTable mConnections;
   std::atomic<std::size_t> mOutstanding{ 0 };
   std::atomic<std::size_t> mOpen{ 0 };
@@ -158,7 +158,7 @@
       CallerSocket::SetConnection(
         connection,
         std::make_shared<ArrivingRequest>(
-          mState->mMemory, connection, mState->mTimeouts));
+          mState->mMemory, connection, mState->mLimits));
       ++mState->mOpen;
     } else if (restinio::holds_alternative<closed_t>(cause)) {
       const auto connection =
@@ -487,6 +487,12 @@
   return mImplementation->State().mOpen + CallerSocket::LingeringCount();
 }
 
+void
+HttpServer::SetRequestLimits(const RequestLimits& aLimits)
+{
+  mImplementation->State().mLimits->Set(aLimits);
+}
+
 RequestMemoryCounters
 HttpServer::MemoryCounters() const
 {
--- a/Source/Transport/HttpServer.h
+++ b/Source/Transport/HttpServer.h
@@ -35,11 +35,9 @@
   std::size_t mMaxUnfinishedBytes = std::numeric_limits<std::size_t>::max();
   /** Maximum time to receive a request, and to keep an idle connection. */
   std::chrono::milliseconds mIdleTimeout{ 60000 };
-  /** Maximum times from the first byte of a request to the end of its header,
-   * and to its end. Apply also while an earlier request of the connection is in
-   * progress, but then only once that is answered. */
-  std::chrono::milliseconds mHeaderTimeout{ 60000 };
-  std::chrono::milliseconds mRequestTimeout{ 60000 };
+  /** Limits that SetRequestLimits() may change. The limits above remain in
+   * force. */
+  RequestLimits mRequestLimits;
   /** Called for each request that is refused for its memory or time, on any
    * thread that runs the server; may be empty. */
   RequestRefusalObserver mOnRefusal;
@@ -83,6 +81,10 @@
   /** Number of connections that are open or in their lingering close. */
   std::size_t OpenConnections() const;
 
+  /** Sets the limits on the requests that are received from now on. The limits
+   * of HttpServerOptions remain in force. */
+  void SetRequestLimits(const RequestLimits& aLimits);
+
   RequestMemoryCounters MemoryCounters() const;
 
   /** Number of requests that the parser has rejected. */
--- a/Source/Transport/RequestMemory.h
+++ b/Source/Transport/RequestMemory.h
@@ -30,6 +30,19 @@
   { RequestLimit::Time, "time" },
 } };
 
+/** \brief Limits on each request of a server. */
+struct RequestLimits
+{
+  /** Limit for the texts of the header together. */
+  std::size_t mMaxHeaderBytes = std::numeric_limits<std::size_t>::max();
+  std::size_t mMaxBodyBytes = std::numeric_limits<std::size_t>::max();
+  /** Maximum times from the first byte of a request to the end of its header,
+   * and to its end. They end a request behind an earlier one only once that is
+   * answered. */
+  std::chrono::milliseconds mHeaderTimeout{ 60000 };
+  std::chrono::milliseconds mRequestTimeout{ 60000 };
+};
+
 /** \brief One request that a server refused for one of its limits. */
 struct RequestRefusal
 {
--- a/Tests/Platform/CodecTest.cxx
+++ b/Tests/Platform/CodecTest.cxx
@@ -69,6 +69,53 @@
   CHECK(manifest.value().mPools.at(0).mEnforcesCapacity);
 }
 
+// Guards against limits that refuse callers because a field is missing or odd.
+TEST_CASE(
+  "Platform codec: the limits of a manifest are read, odd ones are none")
+{
+  json manifest = GoodManifest();
+  CallerLimits expected;
+  SECTION("none") {}
+  SECTION("all")
+  {
+    manifest["limits"] = { { "max_header_bytes", 16384 },
+                           { "max_body_bytes", 262144 },
+                           { "header_timeout_ms", 3000 },
+                           { "idle_timeout_ms", 15000 } };
+    expected = { 16384, 262144, 3000, 15000 };
+  }
+  SECTION("of other types")
+  {
+    manifest["limits"] = { { "max_header_bytes", "16384" },
+                           { "max_body_bytes", -1 },
+                           { "idle_timeout_ms", 15000 } };
+    expected.mIdleTimeoutMs = 15000;
+  }
+  SECTION("a list")
+  {
+    manifest["limits"] = json::array({ 1 });
+  }
+  const auto decoded = platform::DecodeManifest(manifest.dump());
+  REQUIRE(decoded);
+  CHECK(decoded.value().mLimits == expected);
+}
+
+// Guards against a journal of an earlier version that cannot be read.
+TEST_CASE("Platform codec: a manifest stored without limits is readable")
+{
+  msgpack::sbuffer stored;
+  msgpack::pack(stored,
+                std::make_tuple(std::uint64_t{ 7 },
+                                std::vector<Queue>(),
+                                std::vector<Pool>(),
+                                std::string("text")));
+  const auto manifest =
+    msgpack::unpack(stored.data(), stored.size())->as<Manifest>();
+  CHECK(manifest.mVersion == 7);
+  CHECK(manifest.mText == "text");
+  CHECK(manifest.mLimits == CallerLimits());
+}
+
 TEST_CASE("Platform codec: an invalid manifest is refused")
 {
   json manifest = GoodManifest();
--- a/Tests/Processes/ClientCrowdTest.cxx
+++ b/Tests/Processes/ClientCrowdTest.cxx
@@ -188,6 +188,26 @@
   CheckProcess(processes.Coordinator(), kCoordinatorMegabytes);
 }
 
+// Guards against limits of a manifest that do not reach the gateways.
+TEST_CASE("Clients: the limits of the manifest apply to callers only")
+{
+  DispatchProcesses processes;
+  REQUIRE(processes.IsReady());
+  std::string manifest = kManifest;
+  manifest.replace(manifest.find(":7,"), 3, ":8,");
+  manifest.replace(manifest.rfind("{}"), 2, R"({"max_body_bytes":65536})");
+  REQUIRE(processes.Call(
+            processes.Control(), "POST", "/config/put", manifest) == 200);
+  const std::string large = PaddedTo(65537, kJob);
+  CHECK(Eventually([&] {
+    return processes.Call(processes.Callers(), "POST", "/p/j", large) == 413;
+  }));
+  CHECK(processes.Call(processes.Control(),
+                       "POST",
+                       "/instances/w/heartbeat",
+                       PaddedTo(65537, kReport)) == 200);
+}
+
 // Guards against unfinished requests that together exceed the memory of an
 // instance of the product's own interface.
 TEST_CASE("Clients: an instance keeps within its memory and answers")
