--- a/Tests/Platform/CodecTest.cxx
+++ b/Tests/Platform/CodecTest.cxx
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "platform/JobCodec.h"
+#include "platform/Json.h"
 #include "platform/ManifestCodec.h"
 #include "platform/WorkerCodec.h"
 
@@ -100,6 +101,32 @@
   CHECK(decoded.value().mLimits == expected);
 }
 
+// Guards against bodies whose decoded form takes many times their memory.
+TEST_CASE("Platform codec: a body of very many values or steps is refused")
+{
+  std::string body = R"({"spec":"x","steps":[{})";
+  SECTION("values")
+  {
+    for (std::size_t i = 0; i < platform::kMaxValues; ++i) {
+      body += ",{}";
+    }
+    const auto job = platform::DecodeJob(body + "]}");
+    REQUIRE_FALSE(job);
+    CHECK(job.error().Kind() == ErrorKind::MalformedRequest);
+  }
+  SECTION("steps")
+  {
+    constexpr std::size_t kMaxSteps = 2000;
+    for (std::size_t i = 1; i < kMaxSteps; ++i) {
+      body += ",{}";
+    }
+    CHECK(platform::DecodeJob(body + "]}"));
+    const auto job = platform::DecodeJob(body + ",{}]}");
+    REQUIRE_FALSE(job);
+    CHECK(job.error().Kind() == ErrorKind::InvalidArgument);
+  }
+}
+
 // Guards against a journal of an earlier version that cannot be read.
 TEST_CASE("Platform codec: a manifest stored without limits is readable")
 {
