--- a/Source/Daemon/SettingValues.cxx
+++ b/Source/Daemon/SettingValues.cxx
@@ -150,6 +150,16 @@
   return std::nullopt;
 }
 
+bool
+IsName(const std::string& aText)
+{
+  constexpr std::size_t kMaxName = 64;
+  return !aText.empty() && aText.size() <= kMaxName &&
+         aText.find_first_not_of("abcdefghijklmnopqrstuvwxyz"
+                                 "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                 "0123456789._-") == std::string::npos;
+}
+
 std::vector<std::string>
 Split(std::string_view aText, char aSeparator)
 {
--- a/Source/Daemon/SettingValues.h
+++ b/Source/Daemon/SettingValues.h
@@ -31,6 +31,10 @@
 std::optional<NetworkSettings>
 ParseNetwork(std::string_view aText);
 
+/** True for 1 to 64 letters, digits, '.', '_' or '-'. */
+bool
+IsName(const std::string& aText);
+
 /** Splits at the separator and trims each part; empty parts are kept. */
 std::vector<std::string>
 Split(std::string_view aText, char aSeparator);
--- a/Source/Daemon/Settings.cxx
+++ b/Source/Daemon/Settings.cxx
@@ -243,16 +243,6 @@
          '\'';
 }
 
-bool
-IsName(const std::string& aText)
-{
-  constexpr std::size_t kMaxName = 64;
-  return !aText.empty() && aText.size() <= kMaxName &&
-         aText.find_first_not_of("abcdefghijklmnopqrstuvwxyz"
-                                 "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
-                                 "0123456789._-") == std::string::npos;
-}
-
 const std::string kNameAllowed = "1 to 64 letters, digits, '.', '_' or '-'";
 
 /** \brief Builds a Settings object from the entries of a file. */
