--- a/Source/Dispatch/ClientLimits.cxx
+++ b/Source/Dispatch/ClientLimits.cxx
@@ -14,6 +14,10 @@
  * holds the copies made while a request is decoded and passed on. */
 constexpr std::size_t kRequestShare = 4;
 
+/** Least memory for requests: twice the largest body of a report or manifest,
+ * so that one is served also beside the reserve for small requests. */
+constexpr std::size_t kMinRequestBytes = 8 * kMebibyte;
+
 /** Part of the memory of the process for requests at each address of probes. */
 constexpr std::size_t kProbeShare = 64;
 
@@ -67,7 +71,8 @@
   }
   if (aSettings.mMemoryMegabytes > 0) {
     const std::size_t bytes = aSettings.mMemoryMegabytes * kMebibyte;
-    limits.mMain.mMaxUnfinishedBytes = bytes / kRequestShare;
+    limits.mMain.mMaxUnfinishedBytes =
+      std::max(bytes / kRequestShare, kMinRequestBytes);
     limits.mProbes.mMaxUnfinishedBytes =
       std::max(bytes / kProbeShare, 2 * kMebibyte);
   }
