Transport: Drops large answers to reads that exceed the account

Reads are answered when the leader has confirmed, many at a time, so that their answers were made before any was charged: 300 connections with 16 pipelined reads of a manifest of 3.5 MB took 1,629 MB on a coordinator. A large answer of a GET that the account cannot hold is now replaced by 503; nothing has run. The test of unread answers uses DELETE, whose answer is always given, and a new one covers reads.

--- a/Source/Transport/HttpServer.cxx
+++ b/Source/Transport/HttpServer.cxx
@@ -218,6 +218,7 @@
     , mHeld(mState->mMemory, aHeldBytes)
     , mConnection(std::move(aConnection))
     , mRequest(TakeRequest(*aRequest))
+    , mIsRead(mRequest.mMethod == "GET" || mRequest.mMethod == "HEAD")
     , mRequestId(aRequest->request_id())
     , mHandle(restinio::impl::access_req_connection(*aRequest))
     , mBuilder(aRequest->create_response())
@@ -243,6 +244,9 @@
       return;
     }
     mConnection->RemoveObserver(mRequestId);
+    ChargeAnswer(aResponse);
+    const auto held =
+      std::make_shared<HeldMemory>(mState->mMemory, aResponse.mBody.size());
     ResponseBuilder& builder = *mBuilder;
     builder.header().status_line(restinio::http_status_line_t{
       restinio::http_status_code_t{
@@ -257,9 +261,6 @@
     if (mConnection->TryMarkLastAnswer(wantsClose)) {
       builder.header().should_keep_alive(false);
     }
-    mState->mMemory->Hold(aResponse.mBody.size());
-    const auto held =
-      std::make_shared<HeldMemory>(mState->mMemory, aResponse.mBody.size());
     builder.set_body(std::move(aResponse.mBody));
     builder.done([state = mState, connection = mConnection, held](
                    const asio::error_code&) {
@@ -292,10 +293,26 @@
   }
 
 private:
+  // The large answer of a read is dropped if there is no memory for it: nothing
+  // has run, and many reads may be answered before the first answer is written.
+  void ChargeAnswer(HttpResponse& aResponse)
+  {
+    const bool isDroppable =
+      mIsRead && aResponse.mBody.size() > RequestMemory::kSmallRequestBytes;
+    if (isDroppable) {
+      if (mState->mMemory->Acquire(aResponse.mBody.size())) {
+        return;
+      }
+      aResponse = ErrorResponse(RequestMemory::ExhaustedError());
+    }
+    mState->mMemory->Hold(aResponse.mBody.size());
+  }
+
   std::shared_ptr<ServerState> mState;
   const HeldMemory mHeld;
   std::shared_ptr<ConnectionState> mConnection;
   HttpRequest mRequest;
+  const bool mIsRead;
   std::uint64_t mRequestId;
   restinio::impl::connection_handle_t mHandle;
   std::optional<ResponseBuilder> mBuilder;
--- a/Tests/Transport/RequestLimitsTest.cxx
+++ b/Tests/Transport/RequestLimitsTest.cxx
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <list>
 #include <stdexcept>
 #include <string>
 
@@ -153,6 +154,27 @@
   CHECK(StatusOf(idle.ReadResponse()) == "200");
 }
 
+// Guards against many reads that are answered while none of the answers is
+// read.
+TEST_CASE("Request limits: large answers to reads are bounded")
+{
+  HttpServerOptions options;
+  options.mMaxUnfinishedBytes = 2 * kLargeAnswerBytes;
+  LimitedServer server(options);
+  constexpr int kConnections = 8;
+  std::list<TestConnection> readers;
+  for (int i = 0; i < kConnections; ++i) {
+    readers.emplace_back(server.Port())
+      .Send("GET /large HTTP/1.1\r\nHost: a\r\n\r\n");
+  }
+  CHECK(Eventually([&] {
+    return server.Server().MemoryCounters().mRefusedForMemory ==
+           kConnections - 1;
+  }));
+  CHECK(server.Server().MemoryCounters().mHeldBytes <=
+        options.mMaxUnfinishedBytes);
+}
+
 // Guards against clients that do not read their answers, or close in the
 // middle, and keep memory.
 TEST_CASE("Request limits: answers that are not read are charged until closed")
@@ -161,7 +183,7 @@
   options.mMaxUnfinishedBytes = kLargeAnswerBytes / 2;
   LimitedServer server(options);
   TestConnection reader(server.Port());
-  reader.Send("GET /large HTTP/1.1\r\nHost: a\r\n\r\n");
+  reader.Send("DELETE /large HTTP/1.1\r\nHost: a\r\n\r\n");
   REQUIRE(Eventually([&] {
     return server.Server().MemoryCounters().mHeldBytes >= kLargeAnswerBytes;
   }));
