--- a/Source/Transport/CallerParser.cxx
+++ b/Source/Transport/CallerParser.cxx
@@ -3,6 +3,7 @@
 #include <limits>
 #include <utility>
 
+#include "Transport/ArrivingRequest.h"
 #include "Transport/HttpMessage.h"
 
 namespace almondspoke::detail {
@@ -12,9 +13,30 @@
 constexpr int kAbortParsing = -1;
 constexpr unsigned kSupportedMajorVersion = 1;
 
+/** Memory that the library uses for a header field besides its text. */
+constexpr std::size_t kFieldRecordBytes = 128;
+
 thread_local std::optional<std::string> rejection;
 thread_local bool isContinueWanted = false;
 
+// Returns false if the header exceeds its limit.
+bool
+CountHeader(std::size_t aBytes)
+{
+  ArrivingRequest* request = ArrivingRequest::Current();
+  return request == nullptr || request->AddHeader(aBytes);
+}
+
+bool
+IsBodyTooLarge(const http_parser& aParser)
+{
+  const ArrivingRequest* request = ArrivingRequest::Current();
+  const bool hasLength =
+    aParser.content_length != std::numeric_limits<std::uint64_t>::max();
+  return request != nullptr && hasLength &&
+         aParser.content_length > request->MaxBodyBytes();
+}
+
 const restinio::http_request_header_t&
 HeaderOf(const http_parser& aParser)
 {
@@ -81,8 +103,11 @@
 CallerParser::OnHeadersComplete(http_parser* aParser)
 {
   isContinueWanted = false;
+  if (ArrivingRequest* request = ArrivingRequest::Current()) {
+    request->EndHeader();
+  }
   rejection = CheckVersion(*aParser);
-  if (rejection) {
+  if (rejection || IsBodyTooLarge(*aParser)) {
     return kAbortParsing;
   }
   // Only this library callback adds a trailing field that has no value.
@@ -95,6 +120,69 @@
   return rejection ? kAbortParsing : 0;
 }
 
+int
+CallerParser::OnMessageBegin(http_parser*)
+{
+  if (ArrivingRequest* request = ArrivingRequest::Current()) {
+    request->Begin();
+  }
+  return 0;
+}
+
+int
+CallerParser::OnUrl(http_parser* aParser, const char* aText, std::size_t aSize)
+{
+  if (!CountHeader(aSize)) {
+    return kAbortParsing;
+  }
+  return restinio::impl::restinio_url_cb(aParser, aText, aSize);
+}
+
+int
+CallerParser::OnField(http_parser* aParser,
+                      const char* aText,
+                      std::size_t aSize)
+{
+  const bool isNew =
+    static_cast<const restinio::impl::http_parser_ctx_t*>(aParser->data)
+      ->m_last_was_value;
+  ArrivingRequest* request = ArrivingRequest::Current();
+  if (request != nullptr && isNew) {
+    request->AddRecord(kFieldRecordBytes);
+  }
+  if (!CountHeader(aSize)) {
+    return kAbortParsing;
+  }
+  return restinio::impl::restinio_header_field_cb(aParser, aText, aSize);
+}
+
+int
+CallerParser::OnValue(http_parser* aParser,
+                      const char* aText,
+                      std::size_t aSize)
+{
+  if (!CountHeader(aSize)) {
+    return kAbortParsing;
+  }
+  return restinio::impl::restinio_header_value_cb(aParser, aText, aSize);
+}
+
+int
+CallerParser::OnBody(http_parser* aParser, const char* aText, std::size_t aSize)
+{
+  ArrivingRequest* request = ArrivingRequest::Current();
+  if (request != nullptr && !request->AddBody(aSize)) {
+    return kAbortParsing;
+  }
+  return restinio::impl::restinio_body_cb(aParser, aText, aSize);
+}
+
+int
+CallerParser::OnChunkHeader(http_parser*)
+{
+  return 0;
+}
+
 std::optional<std::string>
 CallerParser::TakeRejection()
 {
--- a/Source/Transport/HttpServer.h
+++ b/Source/Transport/HttpServer.h
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -11,6 +11,7 @@
 
 #include "Base/Result.h"
 #include "Transport/HttpExchange.h"
+#include "Transport/RequestMemory.h"
 
 namespace almondspoke {
 
@@ -29,8 +30,17 @@
   std::size_t mMaxConnections = 4096;
   /** Number of requests that one connection may have in progress. */
   std::size_t mMaxPipelinedRequests = 16;
+  /** Maximum memory of unfinished requests, and of finished ones and their
+   * answers until these are written. */
+  std::size_t mMaxUnfinishedBytes = std::numeric_limits<std::size_t>::max();
   /** Maximum time to receive a request, and to keep an idle connection. */
   std::chrono::milliseconds mIdleTimeout{ 60000 };
+  /** Limits that SetRequestLimits() may change. The limits above remain in
+   * force. */
+  RequestLimits mRequestLimits;
+  /** Called for each request that is refused for its memory or time, on any
+   * thread that runs the server; may be empty. */
+  RequestRefusalObserver mOnRefusal;
   /** Maximum time to answer a request; then the connection is closed. */
   std::chrono::milliseconds mHandlingTimeout{ 3600000 };
 };
@@ -71,6 +81,12 @@
   /** Number of connections that are open or in their lingering close. */
   std::size_t OpenConnections() const;
 
+  /** Sets the limits on the requests that are received from now on. The limits
+   * of HttpServerOptions remain in force. */
+  void SetRequestLimits(const RequestLimits& aLimits);
+
+  RequestMemoryCounters MemoryCounters() const;
+
   /** Number of requests that the parser has rejected. */
   std::uint64_t RejectedRequests() const;
 
