--- a/Source/Dispatch/DispatchJob.h
+++ b/Source/Dispatch/DispatchJob.h
@@ -59,8 +59,9 @@
   std::vector<std::string> mLabels;
   /** True if a step needs more than any worker of the pool has. */
   bool mIsTooLarge = false;
-  /** Step of the size of the largest task (see SizeStepOf), or zero if sizes are
-   * not told apart. A task that finds no room says nothing about smaller ones.
+  /** Step of the size of the largest task (see SizeStepOf), or zero if sizes
+   * are not told apart. A task that finds no room says nothing about smaller
+   * ones.
    */
   std::uint32_t mSizeStep = 0;
 
@@ -128,7 +129,8 @@
   /** Time up to which a caller waits for the answer; unset if it is not known.
    */
   std::optional<TimePoint> mAnswerBy;
-  /** Time that the orders of the job are expected to take, as of its arrival. */
+  /** Time that the orders of the job are expected to take, as of its arrival.
+   */
   std::chrono::milliseconds mOrderTime{ 0 };
   /** True if the job can no longer end in time. It is scheduled after all that
    * can. */
--- a/Source/Dispatch/ReadyQueue.cxx
+++ b/Source/Dispatch/ReadyQueue.cxx
@@ -144,8 +144,8 @@
     before += work;
   }
   // Only the jobs in the range of the job itself are counted one by one.
-  auto job = aQueue.mJobs.lower_bound(
-    { aKey.mIsLate, aKey.mPriority, range, 0 });
+  auto job =
+    aQueue.mJobs.lower_bound({ aKey.mIsLate, aKey.mPriority, range, 0 });
   for (; job != aQueue.mJobs.end() && job->first < aKey; ++job) {
     before += job->second->mCountedWork;
   }
--- a/Source/Dispatch/ReadyQueue.h
+++ b/Source/Dispatch/ReadyQueue.h
@@ -49,8 +49,8 @@
    * cores are not set. */
   Backlog BacklogBefore(const DispatchJob& aJob) const;
 
-  /** Returns the jobs that have waited for longer than they may in their present
-   * state, each once per limit (see AdmissionStrategy::WaitLimit). */
+  /** Returns the jobs that have waited for longer than they may in their
+   * present state, each once per limit (see AdmissionStrategy::WaitLimit). */
   std::vector<DispatchJob*> TakeOverdue(TimePoint aNow);
 
 private:
