--- a/Source/Consensus/ConsensusCoreMembership.cxx
+++ b/Source/Consensus/ConsensusCoreMembership.cxx
@@ -15,10 +15,6 @@
 constexpr std::size_t kMaxRecordedAcknowledgements = 256;
 constexpr std::size_t kMaxNameBytes = 256;
 
-/** A Join of a replica without state is valid for this many join
- * intervals. */
-constexpr int kFreshReplicaValidityIntervals = 4;
-
 /** A voter without a leader sends Join messages after this many maximum
  * election timeouts, because it may have been removed from the group. */
 constexpr int kVoterJoinElectionTimeouts = 3;
@@ -36,24 +32,6 @@
 
 }
 
-bool
-ConsensusCore::IsFresh() const
-{
-  return !IsAdmitted() && !mIdentity.mEverAdmitted && mOptions.mDurable;
-}
-
-void
-ConsensusCore::UpdateUnadmittedIdentity()
-{
-  if (mOptions.mMayBootstrap && IsFresh() && !mIdentity.mCreatedForBootstrap) {
-    mIdentity.mCreatedForBootstrap = true;
-    mPendingWrite.mNewIdentity = mIdentity;
-  }
-  if (!mOptions.mMayBootstrap && !mIdentity.mCreatedForBootstrap) {
-    mIdentity.mEverAdmitted = true;
-  }
-}
-
 void
 ConsensusCore::SendJoins()
 {
@@ -195,38 +173,6 @@
   }
 }
 
-std::vector<ReplicaId>
-ConsensusCore::BootstrapVoters() const
-{
-  const std::set<InstanceName> initial(mOptions.mInitialVoters.begin(),
-                                       mOptions.mInitialVoters.end());
-  // Only the first voter by name bootstraps, so that there is a single group.
-  if (!IsFresh() || initial.empty() || *initial.begin() != mOptions.mSelf) {
-    return {};
-  }
-  const auto validity =
-    mOptions.mTimings.mJoinInterval * kFreshReplicaValidityIntervals;
-  std::vector<ReplicaId> voters{ Self() };
-  for (const InstanceName& name : initial) {
-    const auto known = mUnadmittedReplicas.find(name);
-    if (name == mOptions.mSelf) {
-      continue;
-    }
-    if (known == mUnadmittedReplicas.end() ||
-        mNow - known->second.mSeen > validity) {
-      return {};
-    }
-    if (known->second.mIsFresh) {
-      voters.push_back({ name, known->second.mIncarnation });
-    }
-  }
-  // This replica is the only one that bootstraps and has not done so. A replica
-  // that may have lost its storage can therefore not have been in a group. It
-  // joins as a learner.
-  const bool isMajority = voters.size() > initial.size() / 2;
-  return isMajority ? voters : std::vector<ReplicaId>{};
-}
-
 void
 ConsensusCore::TryBootstrap()
 {
--- a/Source/Dispatch/ManifestReview.cxx
+++ b/Source/Dispatch/ManifestReview.cxx
@@ -177,11 +177,13 @@
       const std::string before = property.mText(*former->second);
       const std::string after = property.mText(*entry);
       if (before != after) {
+        std::string text = property.mName;
+        text.append(": '").append(before).append("' to '").append(after);
+        text += '\'';
         Add(aFindings,
             ManifestFindingKind::Change,
             EntryOf(*entry),
-            std::string(property.mName) + ": '" + before + "' to '" + after +
-              "'");
+            std::move(text));
       }
     }
   }
