Tests: Plays jobs of several steps while answers overtake each other

The simulated workers check two more rules: no start after the attempts of a queue have failed, and none for a job that a caller was told has ended.

--- a/Tests/Dispatch/LeaderTransport.cxx
+++ b/Tests/Dispatch/LeaderTransport.cxx
@@ -49,6 +49,9 @@
                        milliseconds aTimeout,
                        OrderDone aDone)
 {
+  if (!mLeaseEnded) {
+    mFleet.CheckOrder(aOrder);
+  }
   Send(aOrder, aTimeout, std::move(aDone), &SimulatedFleet::Start);
 }
 
--- a/Tests/Dispatch/SimulatedFleet.cxx
+++ b/Tests/Dispatch/SimulatedFleet.cxx
@@ -22,6 +22,8 @@
 constexpr milliseconds kMaxLease{ 1000 };
 constexpr milliseconds kStopDuration{ 20 };
 constexpr std::size_t kMaxEndsListed = 500;
+/** Failed runs that the queues of the fixtures allow. */
+constexpr std::size_t kMaxAttempts = 2;
 
 std::string
 NameOf(const TaskId& aTask)
@@ -110,6 +112,26 @@
   mJobModels[aJob] = aModel;
 }
 
+void
+SimulatedFleet::NoteShownAsEnded(const std::string& aJob)
+{
+  mShownAsEnded.insert(aJob);
+}
+
+SimulatedFleet::Milliseconds
+SimulatedFleet::Delay(const dispatch::WorkerId& aWorker)
+{
+  const auto worker = mWorkers.find(aWorker);
+  const Milliseconds extra = worker == mWorkers.end()
+                               ? Milliseconds(0)
+                               : worker->second.mNetworkFaults.mMaxExtraDelay;
+  if (extra.count() == 0) {
+    return kOneWayDelay;
+  }
+  return kOneWayDelay + Milliseconds(std::uniform_int_distribution<int>(
+                          0, static_cast<int>(extra.count()))(mRandom));
+}
+
 void
 SimulatedFleet::Step()
 {
@@ -189,6 +211,39 @@
     ReportViolation("task started after its end was acknowledged: " +
                     NameOf(aTask));
   }
+  const auto failures = mAcknowledgedFailures.find(aTask);
+  const bool isOverBudget =
+    failures != mAcknowledgedFailures.end() && failures->second >= kMaxAttempts;
+  if (isOverBudget) {
+    ReportViolation("task started after its last attempt had failed: " +
+                    NameOf(aTask));
+  }
+}
+
+void
+SimulatedFleet::CheckOrder(const StartOrder& aOrder)
+{
+  if (mShownAsEnded.count(aOrder.mRun.mTask.mJob) != 0) {
+    ReportViolation("start ordered after the job was shown as ended: " +
+                    NameOf(aOrder.mRun.mTask));
+  }
+}
+
+void
+SimulatedFleet::Acknowledge(Worker& aWorker, std::uint64_t aLastEnd)
+{
+  auto& ended = aWorker.mEnded;
+  while (!ended.empty() && ended.front().mNumber <= aLastEnd) {
+    const TaskId& task = ended.front().mRun.mTask;
+    const bool isStored = mJobModels[task.mJob].mIsStored;
+    if (ended.front().mEnd == RunEnd::Done && isStored) {
+      mAcknowledgedTasks.insert(task);
+    }
+    if (ended.front().mEnd == RunEnd::Failed && isStored) {
+      ++mAcknowledgedFailures[task];
+    }
+    ended.erase(ended.begin());
+  }
 }
 
 OrderOutcome
@@ -252,18 +307,20 @@
     After(aTimeout, [aDone] { aDone({ OrderOutcome::Unknown, 0 }); });
     return;
   }
-  After(kOneWayDelay, [this, aOrder, aTimeout, aDone] {
+  const milliseconds there = Delay(aOrder.mTarget.mBoot.mId);
+  After(there, [this, aOrder, aTimeout, aDone, there] {
     Worker* worker = FindReachable(aOrder.mTarget);
     if (worker == nullptr) {
       After(aTimeout, [aDone] { aDone({ OrderOutcome::Unknown, 0 }); });
       return;
     }
     const OrderResult result = Answer(*worker, CarryOutStart(*worker, aOrder));
-    if (worker->mNetworkFaults.mAnswersLost) {
+    const milliseconds back = Delay(aOrder.mTarget.mBoot.mId);
+    if (worker->mNetworkFaults.mAnswersLost || there + back > aTimeout) {
       After(aTimeout, [aDone] { aDone({ OrderOutcome::Unknown, 0 }); });
       return;
     }
-    After(kOneWayDelay, [aDone, result] { aDone(result); });
+    After(back, [aDone, result] { aDone(result); });
   });
 }
 
@@ -272,7 +329,8 @@
                      Milliseconds aTimeout,
                      const dispatch::WorkerCalls::OrderDone& aDone)
 {
-  After(kOneWayDelay, [this, aOrder, aTimeout, aDone] {
+  const milliseconds there = Delay(aOrder.mTarget.mBoot.mId);
+  After(there, [this, aOrder, aTimeout, aDone, there] {
     Worker* worker = FindReachable(aOrder.mTarget);
     if (worker == nullptr || worker->mNetworkFaults.mStopsLost) {
       After(aTimeout, [aDone] { aDone({ OrderOutcome::Unknown, 0 }); });
@@ -297,10 +355,10 @@
       }
     }
     const OrderResult result = Answer(*worker, outcome);
-    const milliseconds delay =
-      worker->mNetworkFaults.mAnswersLost ? aTimeout : kOneWayDelay;
-    const bool isAnswered = !worker->mNetworkFaults.mAnswersLost;
-    After(delay, [aDone, result, isAnswered] {
+    const milliseconds back = Delay(aOrder.mTarget.mBoot.mId);
+    const bool isAnswered =
+      !worker->mNetworkFaults.mAnswersLost && there + back <= aTimeout;
+    After(isAnswered ? back : aTimeout, [aDone, result, isAnswered] {
       aDone(isAnswered ? result : OrderResult{ OrderOutcome::Unknown, 0 });
     });
   });
@@ -321,7 +379,7 @@
     }
   };
   After(aTimeout, [finish] { finish({}); });
-  After(kOneWayDelay, [this, aOrder, finish] {
+  After(Delay(aOrder.mTarget.mBoot.mId), [this, aOrder, finish] {
     Worker* worker = FindReachable(aOrder.mTarget);
     if (worker == nullptr) {
       return;
@@ -343,16 +401,7 @@
     if (aOrder.mLeaseEnd > 0) {
       ExtendLease(*worker, aOrder.mLeaseEnd);
     }
-    auto& ended = worker->mEnded;
-    while (!ended.empty() &&
-           ended.front().mNumber <= aOrder.mAcknowledgedEnds) {
-      const TaskId& task = ended.front().mRun.mTask;
-      if (ended.front().mEnd == RunEnd::Done &&
-          mJobModels[task.mJob].mIsStored) {
-        mAcknowledgedTasks.insert(task);
-      }
-      ended.erase(ended.begin());
-    }
+    Acknowledge(*worker, aOrder.mAcknowledgedEnds);
     const std::string id = worker->mReport.mBoot.mId;
     worker->mHolds.push_back({ aOrder.mAcknowledgedEnds,
                                mClock.MonotonicNow() + aOrder.mMaxWait,
@@ -362,7 +411,7 @@
                                    return;
                                  }
                                  const HoldResult lists = ListsOf(answering);
-                                 After(kOneWayDelay,
+                                 After(Delay(id),
                                        [finish, lists] { finish(lists); });
                                } });
   });
@@ -414,8 +463,9 @@
     if (now > aWorker.mLeaseEndsAt) {
       ended.emplace_back(task, RunEnd::LeaseExpired);
     } else if (now >= run.mEndsAt) {
-      const RunEnd how =
-        aWorker.mRunBehavior.mFails ? RunEnd::Failed : RunEnd::Done;
+      const bool fails = aWorker.mRunBehavior.mFails ||
+                         (task.mStep == 0 && mJobModels[task.mJob].mFails);
+      const RunEnd how = fails ? RunEnd::Failed : RunEnd::Done;
       ended.emplace_back(task, run.mIsStopping ? RunEnd::Stopped : how);
     }
   }
--- a/Tests/Dispatch/SimulatedFleet.h
+++ b/Tests/Dispatch/SimulatedFleet.h
@@ -20,8 +20,9 @@
  * invariants.
  *
  * The capacity of a worker must not be exceeded, a task must not have two
- * concurrent runs, and a task must not start after its end was acknowledged.
- * Violations are collected in Errors(). */
+ * concurrent runs, a task must not start after its end was acknowledged, nor
+ * after as many failed ends as its queue allows, nor after its job was shown as
+ * ended. Violations are collected in Errors(). */
 class SimulatedFleet
 {
 public:
@@ -39,6 +40,9 @@
     bool mStopsLost = false;
     /** Fraction of start orders that are carried out late and not answered. */
     double mLateStartFraction = 0;
+    /** Orders and answers take up to this much longer, each for itself, so that
+     * they overtake each other. */
+    Milliseconds mMaxExtraDelay{ 0 };
   };
 
   /** \brief How the runs on a worker behave. */
@@ -56,6 +60,8 @@
     Milliseconds mDuration{ 50 };
     /** True if the job is stored, so that acknowledged ends are final. */
     bool mIsStored = false;
+    /** True if all runs of the first step fail. */
+    bool mFails = false;
   };
 
   SimulatedFleet(ManualClock& aClock, std::uint64_t aSeed);
@@ -74,6 +80,13 @@
 
   void DescribeJob(const std::string& aJob, JobModel aModel);
 
+  /** Records that a caller was told that a job has ended, so that no order
+   * which is given from now on may start its tasks. */
+  void NoteShownAsEnded(const std::string& aJob);
+
+  /** Checks an order when a leader gives it. */
+  void CheckOrder(const dispatch::StartOrder& aOrder);
+
   /** Advances the clock by one millisecond and processes due events. */
   void Step();
 
@@ -144,6 +157,10 @@
   void EndDueRuns(Worker& aWorker);
   void AnswerHolds(Worker& aWorker);
   void CheckStart(const Worker& aWorker, const dispatch::TaskId& aTask);
+  /** Records the ends that a worker may discard. */
+  void Acknowledge(Worker& aWorker, std::uint64_t aLastEnd);
+  /** Returns how long a message to or from a worker is on its way. */
+  Milliseconds Delay(const dispatch::WorkerId& aWorker);
   void ReportViolation(const std::string& aWhat);
   bool Chance(double aProbability);
 
@@ -154,6 +171,9 @@
   std::map<std::string, std::size_t> mStarts;
   /** Tasks of stored jobs whose successful end was acknowledged. */
   std::set<dispatch::TaskId> mAcknowledgedTasks;
+  /** Acknowledged failed ends of the tasks of stored jobs. */
+  std::map<dispatch::TaskId, std::size_t> mAcknowledgedFailures;
+  std::set<std::string> mShownAsEnded;
   std::multimap<TimePoint, std::function<void()>> mEvents;
   std::vector<std::string> mErrors;
 };
