Dispatch: Counts failed ends in whatever order they are read

Callers saw a stored job tried once more than max_attempts allows, when a worker that had been out of reach listed a failed end after a later run of the same task had failed elsewhere.

Cause: leader and stored state knew only the highest run number whose end was stored. A failed end with a lower number was taken for one that had been counted. It was acknowledged and lost.

Change: FailedRuns holds the numbers of a task's failed runs and counts each once.

--- a/Source/Dispatch/CoordinatorRecords.cxx
+++ b/Source/Dispatch/CoordinatorRecords.cxx
@@ -151,7 +151,7 @@
 }
 
 // A failed end counts also if this leader did not track the run, for example
-// since an earlier leader started it.
+// since an earlier leader started it, and if a later run has ended before.
 void
 Coordinator::StoreEnd(WorkerSession& aWorker,
                       DispatchJob& aJob,
@@ -159,15 +159,18 @@
 {
   const TaskId& id = aEnd.mRun.mTask;
   DispatchTask& task = *aJob.Task(id);
-  const bool isNew = aEnd.mRun.mNumber > task.mLastEndedRun;
+  const RunNumber run = aEnd.mRun.mNumber;
+  const bool isNew = run > task.mCountedUpTo && !task.mFailedRuns.Contains(run);
   const bool isDone = aEnd.mEnd == RunEnd::Done;
   const bool isStored = task.mPhase == TaskPhase::Done ||
                         (!isDone && !isNew && task.mEndsBeingStored == 0);
   if (isStored) {
     return;
   }
-  task.mLastEndedRun = std::max(task.mLastEndedRun, aEnd.mRun.mNumber);
-  task.mLastRun = std::max(task.mLastRun, aEnd.mRun.mNumber);
+  if (!isDone) {
+    task.mFailedRuns.Add(run);
+  }
+  task.mLastRun = std::max(task.mLastRun, run);
   MarkBegun(aJob);
   AwaitEndRecord(aJob, id, isDone);
   ++task.mEndsBeingStored;
@@ -176,7 +179,7 @@
   record.mJob = id.mJob;
   record.mStep = id.mStep;
   record.mIndex = id.mIndex;
-  record.mRun = aEnd.mRun.mNumber;
+  record.mRun = run;
   record.mDone = isDone;
   record.mCheckpoint = aEnd.mCheckpoint;
   PendingBatch([this, boot = aWorker.Report().mBoot, end = aEnd, isNew](bool) {
@@ -266,7 +269,8 @@
       DispatchTask& task = loaded.mSteps[step][index];
       task.mFailures = stored.mFailures;
       task.mLastRun = stored.mLastEndedRun;
-      task.mLastEndedRun = stored.mLastEndedRun;
+      task.mFailedRuns = stored.mFailedRuns;
+      task.mCountedUpTo = stored.CountedUpTo();
       task.mCheckpoint = stored.mCheckpoint;
       if (stored.mDone) {
         task.mPhase = TaskPhase::Done;
--- a/Source/Dispatch/DispatchJob.h
+++ b/Source/Dispatch/DispatchJob.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Base/Clock.h"
+#include "Dispatch/FailedRuns.h"
 #include "Dispatch/JobMessages.h"
 #include "Dispatch/Manifest.h"
 #include "Dispatch/WorkerCalls.h"
@@ -37,8 +38,10 @@
   /** Number of failed runs. */
   std::uint32_t mFailures = 0;
   RunNumber mLastRun = 0;
-  /** Highest run number whose end has been stored, or is being stored. */
-  RunNumber mLastEndedRun = 0;
+  /** Failed runs whose ends are stored, or are being stored. */
+  FailedRuns mFailedRuns;
+  /** Failed runs up to this number were counted by an earlier version. */
+  RunNumber mCountedUpTo = 0;
   /** Number of ends that are being stored. */
   std::uint32_t mEndsBeingStored = 0;
   /** Worker of the current run; empty if there is none. */
--- a/Source/Dispatch/DispatchState.cxx
+++ b/Source/Dispatch/DispatchState.cxx
@@ -96,14 +96,19 @@
     return;
   }
   StoredTask& task = job.mTasks[aRecord.mStep][aRecord.mIndex];
-  if (task.mDone || (!aRecord.mDone && aRecord.mRun <= task.mLastEndedRun)) {
+  const bool isCounted = aRecord.mRun <= task.CountedUpTo() ||
+                         task.mFailedRuns.Contains(aRecord.mRun);
+  if (task.mDone || (!aRecord.mDone && isCounted)) {
     return;
   }
   job.mState = JobState::Running;
   task.mLastEndedRun = std::max(task.mLastEndedRun, aRecord.mRun);
   task.mCheckpoint = aRecord.mCheckpoint;
   task.mDone = aRecord.mDone;
-  task.mFailures += aRecord.mDone ? 0 : 1;
+  if (!aRecord.mDone) {
+    ++task.mFailures;
+    task.mFailedRuns.Add(aRecord.mRun);
+  }
   if (task.mFailures >= std::max(1U, job.mQueue.mMaxAttempts)) {
     End(job, JobState::Failed, aTimeMs);
     return;
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -9,6 +9,7 @@
 #include <msgpack.hpp>
 
 #include "Dispatch/Evacuations.h"
+#include "Dispatch/FailedRuns.h"
 #include "Dispatch/JobMessages.h"
 #include "Dispatch/Manifest.h"
 #include "Dispatch/WorkerCalls.h"
@@ -23,8 +24,17 @@
   /** Highest run number whose end has been stored. */
   RunNumber mLastEndedRun = 0;
   std::string mCheckpoint;
+  /** The runs behind mFailures. Earlier versions stored only their number. */
+  FailedRuns mFailedRuns;
 
-  MSGPACK_DEFINE(mDone, mFailures, mLastEndedRun, mCheckpoint)
+  /** Returns the number up to which an earlier version has counted failed runs;
+   * zero if all of them are known. */
+  RunNumber CountedUpTo() const
+  {
+    return mFailures > mFailedRuns.Count() ? mLastEndedRun : 0;
+  }
+
+  MSGPACK_DEFINE(mDone, mFailures, mLastEndedRun, mCheckpoint, mFailedRuns)
 };
 
 /** \brief An accepted job that must be carried out even if instances fail. */
--- a/Tests/Dispatch/RunEvidenceTest.cxx
+++ b/Tests/Dispatch/RunEvidenceTest.cxx
@@ -293,6 +293,29 @@
         JobState::Running);
 }
 
+// Guards against a start beyond the limit of failed runs: the failed end of an
+// earlier run, listed by a worker that was out of reach, was not counted.
+TEST_CASE("Run evidence: failed ends count in whatever order they are read")
+{
+  const TaskId task{ "job", 0, 0, 0 };
+  DispatchState state = StateWithFailures(0);
+  RecordBatch later;
+  later.mFence = state.mFence;
+  later.mEnds.push_back({ "job", 0, 0, 7, false, "" });
+  ApplyBatch(state, later);
+  ScriptedLeader leader;
+  leader.mCoordinator.BeginLeading(ScriptedLeader::kFence, state, {});
+  leader.AnswerHold({}, { EndOf(1, { task, 5 }, RunEnd::Failed) });
+  REQUIRE(StoredEnds(leader) == 1);
+  ApplyBatch(state, leader.mBatches.back());
+  CHECK(state.mJobs.at("job").mState == JobState::Failed);
+  leader.CompleteStores();
+  leader.Run(milliseconds(30));
+  CHECK(leader.mOrders.mStarts.empty());
+  CHECK(leader.Ask(JobCallKind::Query, "/patient/job").mState ==
+        JobState::Failed);
+}
+
 // Guards against a start after an end `done` that was acknowledged: it was
 // dropped since a failed end of the same task was being stored.
 TEST_CASE("Run evidence: an end counts while another end of the task is being "
--- a/Tests/Dispatch/StateTest.cxx
+++ b/Tests/Dispatch/StateTest.cxx
@@ -145,6 +145,26 @@
   CHECK(machine.CurrentState().mCancelledBestEffort.empty());
 }
 
+// Earlier versions stored how many runs had failed, not which.
+TEST_CASE("Dispatch state: a failed run that an earlier version has counted is "
+          "not counted again")
+{
+  DispatchState state;
+  RecordBatch batch;
+  batch.mAccepted.push_back(MakeAcceptRecord("job", 1));
+  batch.mAccepted.back().mQueue.mMaxAttempts = 9;
+  ApplyBatch(state, batch);
+  StoredTask& task = state.mJobs.at("job").mTasks.front().front();
+  task.mFailures = 1;
+  task.mLastEndedRun = 5;
+  RecordBatch ends;
+  for (const RunNumber run : { 5, 8, 7, 8 }) {
+    ends.mEnds.push_back({ "job", 0, 0, run, false, "" });
+  }
+  ApplyBatch(state, ends);
+  CHECK(task.mFailures == 3);
+}
+
 TEST_CASE("Dispatch state: a cancelled best-effort job is kept until it is "
           "removed")
 {
