Dispatch: Counts failed runs alike in the leader and the state after an upgrade

Where an earlier version has counted failed runs without their numbers, the state goes on comparing with the highest number, which rises with each end; the leader compared with the one that it had loaded. The two could have differed on whether a job has failed.

--- a/Source/Dispatch/CoordinatorRecords.cxx
+++ b/Source/Dispatch/CoordinatorRecords.cxx
@@ -169,6 +169,8 @@
   }
   if (!isDone) {
     task.mFailedRuns.Add(run);
+    task.mCountedUpTo =
+      task.mCountedUpTo > 0 ? std::max(task.mCountedUpTo, run) : 0;
   }
   task.mLastRun = std::max(task.mLastRun, run);
   MarkBegun(aJob);
--- a/Source/Dispatch/DispatchJob.h
+++ b/Source/Dispatch/DispatchJob.h
@@ -40,7 +40,7 @@
   RunNumber mLastRun = 0;
   /** Failed runs whose ends are stored, or are being stored. */
   FailedRuns mFailedRuns;
-  /** Failed runs up to this number were counted by an earlier version. */
+  /** See StoredTask::CountedUpTo(). */
   RunNumber mCountedUpTo = 0;
   /** Number of ends that are being stored. */
   std::uint32_t mEndsBeingStored = 0;
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -27,8 +27,8 @@
   /** The runs behind mFailures. Earlier versions stored only their number. */
   FailedRuns mFailedRuns;
 
-  /** Returns the number up to which an earlier version has counted failed runs;
-   * zero if all of them are known. */
+  /** Returns the number up to which failed runs count as counted, since an
+   * earlier version has counted some of them; zero if all of them are known. */
   RunNumber CountedUpTo() const
   {
     return mFailures > mFailedRuns.Count() ? mLastEndedRun : 0;
