Dispatch: Reads the workers' lists before a local leader starts a job

A task could run twice at the same time in and after a cut: an elected leader had a run of it on a worker of the data centre, the gateway that knew of the call was lost, the caller sent the job again by another gateway, and the local leader started it before it had read that worker. docs/PROMISES.md had this as open ("a gateway killed during the cut").

Cause: a local leader took its recovery for complete at once, since it "starts only jobs that no other leader has seen". It knows such jobs from gateways only.

Change: a local leader recovers as an elected one does. A job of which it has started nothing when a run of it is found is left to the elected leader, which may run other tasks of it elsewhere; its callers learn that the outcome is unknown. While all workers answer this costs one exchange with them.

"Local leader: waits for the end of a found run without extending its lease" now lets the leases of the unread worker expire before it submits its job; its checks are as they were.

--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -157,9 +157,9 @@
  * acknowledged to the worker.
  *
  * A coordinator can also be the local leader of one data centre. A local leader
- * stores nothing and accepts best-effort jobs only. It stops the runs of other
- * leaders on a worker before it uses the worker, and starts no job that an
- * elected leader may have started. Not thread-safe. */
+ * recovers in the same way, stores nothing and accepts best-effort jobs only.
+ * It stops the runs of other leaders on a worker before it uses the worker, and
+ * starts no job that an elected leader may have started. Not thread-safe. */
 class Coordinator
 {
 public:
@@ -298,6 +298,9 @@
   /** Returns whether only an elected leader may serve a call. If so, the call
    * has been answered with the reason. */
   bool DefersToElectedLeader(CallId aCall, const JobCall& aRequest);
+  /** Removes a job of which nothing was started, since an elected leader may be
+   * running it. Its callers learn that the outcome is unknown. */
+  void LeaveToElectedLeader(DispatchJob& aJob);
 
   // Evacuated data centres (CoordinatorEvacuation.cxx).
   std::vector<WorkerSession*> WorkersIn(const DataCentreNames& aNames);
--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -406,11 +406,14 @@
     .With("run", aRun.mRun.mNumber)
     .With("worker", aWorker.Report().mBoot.mId)
     .With("percent", aRun.mPercent);
+  DispatchJob* job = FindJob(id.mJob);
   if (mScope.IsLocal()) {
     StopRun(aWorker, id, *aWorker.Find(id));
+    if (job != nullptr && !job->mStarted) {
+      LeaveToElectedLeader(*job);
+    }
     return;
   }
-  DispatchJob* job = FindJob(id.mJob);
   if (job == nullptr) {
     return;
   }
@@ -511,11 +514,8 @@
     return;
   }
   const milliseconds maxLease = RecoveryTime();
-  // A local leader need not wait for leases to expire: it starts only jobs that
-  // no other leader has seen.
   const bool leasesExpired =
-    mScope.IsLocal() ||
-    (aNow - mLeadingSince >= maxLease && HaveUnreadLeasesExpired(aNow));
+    aNow - mLeadingSince >= maxLease && HaveUnreadLeasesExpired(aNow);
   const bool allRead = !mMustAwaitLeases && AreAllListsRead();
   if (!leasesExpired && !allRead) {
     return;
--- a/Source/Dispatch/CoordinatorLocal.cxx
+++ b/Source/Dispatch/CoordinatorLocal.cxx
@@ -9,6 +9,9 @@
  * may have acted on. Longer than an elected leader keeps a best-effort job. */
 constexpr std::chrono::seconds kCallExclusionTime{ 20 };
 
+constexpr const char* kMayRunElsewhere =
+  "the job may be running under an elected leader that cannot be reached";
+
 }
 
 bool
@@ -29,10 +32,7 @@
   }
   if (mExcludedCalls.count(CallKeyOf(aRequest)) != 0 ||
       !mLedger.FoundRunsOf(id).empty()) {
-    Reply(
-      aCall,
-      JobReplyKind::Unknown,
-      "the job may be running under an elected leader that cannot be reached");
+    Reply(aCall, JobReplyKind::Unknown, kMayRunElsewhere);
     return true;
   }
   const bool canServe = aRequest.mKind == JobCallKind::Submit &&
@@ -46,6 +46,22 @@
   return !canServe;
 }
 
+void
+Coordinator::LeaveToElectedLeader(DispatchJob& aJob)
+{
+  const JobId id = aJob.mSubmission.mId;
+  EventLine(mLog, "job-left")
+    .With("job", id)
+    .With("reason", kMayRunElsewhere)
+    .With("waiters", std::uint64_t{ aJob.mWaitingCalls.size() });
+  JobReply reply;
+  reply.mKind = JobReplyKind::Unknown;
+  reply.mMessage = kMayRunElsewhere;
+  ReplyAll(aJob, reply);
+  mReady.Remove(aJob);
+  mJobs.erase(id);
+}
+
 void
 Coordinator::ExcludeCalls(const std::vector<std::string>& aKeys)
 {
--- a/Tests/Dispatch/LocalLeadershipTest.cxx
+++ b/Tests/Dispatch/LocalLeadershipTest.cxx
@@ -214,6 +214,37 @@
   CHECK(fixture.LocalReplyTo(submitted)->mState == JobState::Completed);
 }
 
+// Guards against two runs of a task at the same time: a job that an elected
+// leader runs comes again by a gateway that does not know of it, before the
+// local leader has read the worker that has the run.
+TEST_CASE("Local leader: starts no job that runs on a worker which it has not "
+          "read")
+{
+  DispatchState state;
+  state.mFence = ScriptedLeader::kFence;
+  for (const char* id : { "w0", "w1" }) {
+    state.mWorkers[id] = ScriptedLeader::ReportOf(id);
+    state.mWorkers[id].mDataCentre = "zagreb";
+  }
+  ScriptedLeader leader;
+  leader.mCoordinator.BeginLeading(
+    ScriptedLeader::kFence, state, {}, { "zagreb", 7 });
+  REQUIRE(leader.mOrders.mHolds.size() == 2);
+  leader.AnswerHold();
+  leader.Submit("job", 1, 8000);
+  leader.Submit("other", 1, 8000);
+  leader.Run(milliseconds(10));
+  CHECK(leader.mOrders.mStarts.empty());
+  ActiveRun found;
+  found.mRun = { { "job", 0, 0, 0 }, 77 };
+  leader.AnswerHold({ found });
+  leader.Run(milliseconds(30));
+  REQUIRE(leader.mOrders.mStarts.size() == 1);
+  CHECK(leader.mOrders.mStarts.front().mOrder.mRun.mTask.mJob == "other");
+  REQUIRE(leader.mReplies.count(1) == 1);
+  CHECK(leader.mReplies.at(1).mKind == JobReplyKind::Unknown);
+}
+
 // Guards against two runs of a task, and against a lease that an elected leader
 // counts on to end: the task of a run that is lost has a found run elsewhere.
 TEST_CASE(
@@ -241,7 +272,9 @@
     }
     FAIL("no hold order to the worker");
   };
+  // The list of w1 is not read before its leases have expired.
   answer("w0", {}, {});
+  leader.Run(milliseconds(1100));
   leader.Submit("job", 1, 8000);
   REQUIRE(leader.mOrders.mStarts.size() == 1);
   REQUIRE(leader.mOrders.mStarts.front().mOrder.mTarget.mBoot.mId == "w0");
