Dispatch: Ignores reports of pools that the manifest does not name

Cause: a report was checked by itself only. "An entry or a heartbeat may come from another writer: [...] a state or service that isn't named here [...]. It names no runner to use; the others hold" (PROTOCOL.md).

Change: the exchange of reports, which each coordinator passes them through, also asks whether the manifest in force names the pool. A boot that is known reports on after its pool was removed, since it may have runs and drains; a later boot waits until its pool is named. Without a manifest nothing is ignored. The log line names the pool, the metric has the defect "unknown-pool".

--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -191,12 +191,19 @@
   /** True if a worker of this local leader has accepted the fence of another
    * leader. */
   bool IsFencedOut() const { return mFencedOut; }
-  /** Version of the current manifest, or zero if there is none. */
+  /** Limits on callers by the current manifest. */
   CallerLimits CurrentCallerLimits() const
   {
     return mManifest ? mManifest->mLimits : CallerLimits();
   }
 
+  /** Returns whether the manifest names a pool; true if there is none. */
+  bool IsPoolNamed(const PoolName& aPool) const
+  {
+    return !mManifest || FindPool(*mManifest, aPool) != nullptr;
+  }
+
+  /** Version of the current manifest, or zero if there is none. */
   std::uint64_t CurrentManifestVersion() const
   {
     return mManifest ? mManifest->mVersion : 0;
--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -107,16 +107,17 @@
                  *this,
                  *this,
                  aParts.mLog)
-  , mReportExchange(aParts.mClock,
-                    aParts.mRpc,
-                    aParts.mLog,
-                    mDirectory,
-                    mSelf,
-                    [this](const WorkerReport& aReport) {
-                      mDataCentres.OnReported(aReport.mDataCentre,
-                                              mClock.MonotonicNow());
-                      mCoordinator.OnReport(aReport);
-                    })
+  , mReportExchange(
+      aParts.mClock,
+      aParts.mRpc,
+      aParts.mLog,
+      mDirectory,
+      mSelf,
+      [this](const PoolName& aPool) { return mCoordinator.IsPoolNamed(aPool); },
+      [this](const WorkerReport& aReport) {
+        mDataCentres.OnReported(aReport.mDataCentre, mClock.MonotonicNow());
+        mCoordinator.OnReport(aReport);
+      })
   , mStateMachine(
       [this](std::shared_ptr<const Manifest> aManifest) {
         asio::post(mContext, [this, manifest = std::move(aManifest)] {
--- a/Source/Dispatch/ReportExchange.cxx
+++ b/Source/Dispatch/ReportExchange.cxx
@@ -29,12 +29,14 @@
                                EventLog& aLog,
                                WorkerDirectory& aDirectory,
                                InstanceName aSelf,
+                               PoolCheck aIsPoolNamed,
                                Observer aObserver)
   : mClock(aClock)
   , mRpc(aRpc)
   , mLog(aLog)
   , mDirectory(aDirectory)
   , mSelf(std::move(aSelf))
+  , mIsPoolNamed(std::move(aIsPoolNamed))
   , mObserver(std::move(aObserver))
 {
 }
@@ -70,10 +72,25 @@
   }
 }
 
+// A boot that is known goes on reporting after the manifest has removed its
+// pool: it may have runs, and drains.
+ReportDefect
+ReportExchange::FindDefectOf(const WorkerReport& aReport) const
+{
+  const ReportDefect defect = FindDefect(aReport, mClock.WallNow());
+  if (defect != ReportDefect::None || mIsPoolNamed(aReport.mPool)) {
+    return defect;
+  }
+  const WorkerReport* known = mDirectory.Find(aReport.mBoot.mId);
+  const bool isKnown = known != nullptr && known->mBoot == aReport.mBoot &&
+                       known->mPool == aReport.mPool;
+  return isKnown ? ReportDefect::None : ReportDefect::UnknownPool;
+}
+
 bool
 ReportExchange::IsUsable(const WorkerReport& aReport)
 {
-  const ReportDefect defect = FindDefect(aReport, mClock.WallNow());
+  const ReportDefect defect = FindDefectOf(aReport);
   if (defect == ReportDefect::None) {
     return true;
   }
@@ -81,6 +98,7 @@
   EventLine(mLog, "report-ignored")
     .With("worker", aReport.mBoot.mId)
     .With("defect", NameOf(defect))
+    .With("pool", aReport.mPool)
     .With("address", aReport.mAddress)
     .With("born", aReport.mBoot.mStartTimeMs);
   return false;
--- a/Source/Dispatch/ReportExchange.h
+++ b/Source/Dispatch/ReportExchange.h
@@ -24,12 +24,16 @@
  *
  * Reports that workers send to this instance are forwarded to the other
  * coordinators in batches. Reports that do not describe a usable worker are
- * counted and ignored, whoever sends them. Not thread-safe. */
+ * counted and ignored, whoever sends them: a known worker is not replaced by a
+ * boot of a pool that the manifest in force does not name. Not thread-safe. */
 class ReportExchange
 {
 public:
   using TimePoint = Clock::Monotonic;
   using Observer = std::function<void(const WorkerReport&)>;
+  /** Returns whether the manifest in force names a pool; true while there is no
+   * manifest. */
+  using PoolCheck = std::function<bool(const PoolName&)>;
   /** Number of ignored reports by ReportDefect. */
   using DefectCounts = std::array<std::uint64_t, kReportDefectNames.size()>;
 
@@ -39,6 +43,7 @@
                  EventLog& aLog,
                  WorkerDirectory& aDirectory,
                  InstanceName aSelf,
+                 PoolCheck aIsPoolNamed,
                  Observer aObserver);
 
   /** Registers the RPC method; must be called before the transport starts. */
@@ -64,12 +69,14 @@
   void ApplyReports(const std::vector<WorkerReport>& aReports);
   /** Returns whether a report can be used; counts and logs it otherwise. */
   bool IsUsable(const WorkerReport& aReport);
+  ReportDefect FindDefectOf(const WorkerReport& aReport) const;
 
   const Clock& mClock;
   PeerRpc& mRpc;
   EventLog& mLog;
   WorkerDirectory& mDirectory;
   const InstanceName mSelf;
+  const PoolCheck mIsPoolNamed;
   const Observer mObserver;
   std::set<InstanceName> mPeers;
   std::vector<WorkerReport> mPendingReports;
--- a/Source/Dispatch/WorkerReportCheck.h
+++ b/Source/Dispatch/WorkerReportCheck.h
@@ -24,10 +24,12 @@
   Labels,
   Sequence,
   DataCentre,
-  Clock
+  Clock,
+  /** The manifest in force names no such pool. */
+  UnknownPool
 };
 
-inline constexpr std::array<EnumName<ReportDefect>, 11> kReportDefectNames = { {
+inline constexpr std::array<EnumName<ReportDefect>, 12> kReportDefectNames = { {
   { ReportDefect::None, "none" },
   { ReportDefect::Unreadable, "unreadable" },
   { ReportDefect::Id, "id" },
@@ -39,6 +41,7 @@
   { ReportDefect::Sequence, "sequence" },
   { ReportDefect::DataCentre, "data-centre" },
   { ReportDefect::Clock, "clock" },
+  { ReportDefect::UnknownPool, "unknown-pool" },
 } };
 
 inline std::string_view
@@ -47,8 +50,8 @@
   return NameOf(kReportDefectNames, aDefect);
 }
 
-/** Returns what is wrong with a report, wherever it comes from: a worker,
- * another instance, or the storage of an earlier version.
+/** Returns what is wrong with a report by itself, wherever it comes from: a
+ * worker, another instance, or the storage of an earlier version.
  * \param aNow time of day, which bounds the start time */
 ReportDefect
 FindDefect(const WorkerReport& aReport, Clock::Wall aNow);
