--- a/Tests/Dispatch/CoordinatorSeededTest.cxx
+++ b/Tests/Dispatch/CoordinatorSeededTest.cxx
@@ -4,10 +4,12 @@
 #include <catch2/catch.hpp>
 
 #include "Dispatch/DispatchFixture.h"
+#include "Support/RandomDraws.h"
 
 using namespace almondspoke;
 using namespace almondspoke::dispatch;
 using almondspoke::testing::DispatchFixture;
+using almondspoke::testing::RandomDraws;
 using std::chrono::milliseconds;
 
 namespace {
@@ -18,13 +20,13 @@
 
 /** \brief A random run: stored and best-effort jobs while workers fail and
  * leaders change. */
-class RandomFaultRun
+class RandomFaultRun : private RandomDraws
 {
 public:
   explicit RandomFaultRun(std::uint64_t aSeed,
                           AdmissionPolicy aAdmission = AdmissionPolicy::Fixed)
-    : mFixture(aSeed)
-    , mRandom(aSeed * 7919 + 1)
+    : RandomDraws(aSeed * 7919 + 1)
+    , mFixture(aSeed)
   {
     mFixture.mOptions.mAdmission = aAdmission;
     mFixture.AddWorkers(kWorkers, 30'000);
@@ -58,14 +60,6 @@
   }
 
 private:
-  bool Chance(double aProbability)
-  {
-    return std::uniform_real_distribution<double>(0, 1)(mRandom) < aProbability;
-  }
-  int Between(int aLow, int aHigh)
-  {
-    return std::uniform_int_distribution<int>(aLow, aHigh)(mRandom);
-  }
   std::string AnyWorker()
   {
     return "w" + std::to_string(Between(0, kWorkers - 1));
@@ -169,7 +163,6 @@
   }
 
   DispatchFixture mFixture;
-  std::mt19937_64 mRandom;
   std::vector<JobCall> mJobs;
 };
 
--- a/Tests/Dispatch/LocalLeadershipTest.cxx
+++ b/Tests/Dispatch/LocalLeadershipTest.cxx
@@ -8,10 +8,12 @@
 #include "Dispatch/LocalLeadership.h"
 #include "Dispatch/ScriptedLeader.h"
 #include "Dispatch/WorkerFence.h"
+#include "Support/RandomDraws.h"
 
 using namespace almondspoke;
 using namespace almondspoke::dispatch;
 using almondspoke::testing::DispatchFixture;
+using almondspoke::testing::RandomDraws;
 using almondspoke::testing::ScriptedLeader;
 using std::chrono::milliseconds;
 
@@ -42,6 +44,20 @@
   return call;
 }
 
+/** Begins to lead the data centre of two workers that are not read yet. */
+void
+BeginLocally(ScriptedLeader& aLeader)
+{
+  DispatchState state;
+  state.mFence = ScriptedLeader::kFence;
+  for (const char* id : { "w0", "w1" }) {
+    state.mWorkers[id] = ScriptedLeader::ReportOf(id);
+    state.mWorkers[id].mDataCentre = "zagreb";
+  }
+  aLeader.mCoordinator.BeginLeading(
+    ScriptedLeader::kFence, state, {}, { "zagreb", 7 });
+}
+
 /** \brief Inputs of LocalLeadership and whether it should begin. */
 struct LocalLeadershipCase
 {
@@ -220,15 +236,8 @@
 TEST_CASE("Local leader: starts no job that runs on a worker which it has not "
           "read")
 {
-  DispatchState state;
-  state.mFence = ScriptedLeader::kFence;
-  for (const char* id : { "w0", "w1" }) {
-    state.mWorkers[id] = ScriptedLeader::ReportOf(id);
-    state.mWorkers[id].mDataCentre = "zagreb";
-  }
   ScriptedLeader leader;
-  leader.mCoordinator.BeginLeading(
-    ScriptedLeader::kFence, state, {}, { "zagreb", 7 });
+  BeginLocally(leader);
   REQUIRE(leader.mOrders.mHolds.size() == 2);
   leader.AnswerHold();
   leader.Submit("job", 1, 8000);
@@ -251,15 +260,8 @@
   "Local leader: waits for the end of a found run without extending its "
   "lease")
 {
-  DispatchState state;
-  state.mFence = ScriptedLeader::kFence;
-  for (const char* id : { "w0", "w1" }) {
-    state.mWorkers[id] = ScriptedLeader::ReportOf(id);
-    state.mWorkers[id].mDataCentre = "zagreb";
-  }
   ScriptedLeader leader;
-  leader.mCoordinator.BeginLeading(
-    ScriptedLeader::kFence, state, {}, { "zagreb", 7 });
+  BeginLocally(leader);
   const auto answer = [&](const WorkerId& aWorker,
                           std::vector<ActiveRun> aRunning,
                           std::vector<EndedRun> aEnded) {
@@ -419,12 +421,12 @@
 constexpr int kRounds = 60;
 
 /** \brief Random partitions during which both leaders serve jobs. */
-class RandomPartitions
+class RandomPartitions : private RandomDraws
 {
 public:
   explicit RandomPartitions(std::uint64_t aSeed)
-    : mFixture(aSeed)
-    , mRandom(aSeed * 104'729 + 3)
+    : RandomDraws(aSeed * 104'729 + 3)
+    , mFixture(aSeed)
   {
     StartRecoveredLeader(mFixture);
   }
@@ -446,15 +448,6 @@
 private:
   using Action = void (RandomPartitions::*)();
 
-  int Between(int aLow, int aHigh)
-  {
-    return std::uniform_int_distribution<int>(aLow, aHigh)(mRandom);
-  }
-  bool Chance(double aProbability)
-  {
-    return std::uniform_real_distribution<double>(0, 1)(mRandom) < aProbability;
-  }
-
   void SubmitRandomJob()
   {
     const std::string id = "5c0e7a21d94b36f8-" + std::to_string(mJobs);
@@ -529,7 +522,6 @@
   }
 
   DispatchFixture mFixture;
-  std::mt19937_64 mRandom;
   std::vector<JobCall> mLocalCalls;
   int mJobs = 0;
 };
--- a/Tests/Dispatch/OrderRelayTest.cxx
+++ b/Tests/Dispatch/OrderRelayTest.cxx
@@ -6,10 +6,12 @@
 #include "Dispatch/OrderRelay.h"
 #include "Dispatch/RelayedWorkerCalls.h"
 #include "Dispatch/ScriptedLeader.h"
+#include "Support/DiscardingSink.h"
 #include "Support/FakePeerRpc.h"
 
 using namespace almondspoke;
 using namespace almondspoke::dispatch;
+using almondspoke::testing::DiscardingSink;
 using almondspoke::testing::FakePeerRpc;
 using almondspoke::testing::ManualClock;
 using almondspoke::testing::OrderRecorder;
@@ -74,13 +76,7 @@
   ManualClock mClock;
   /** Runs beside the leader's one, with another time. */
   ManualClock mRelayClock;
-  struct : LogSink
-  {
-    std::size_t Write(std::string_view aBytes) override
-    {
-      return aBytes.size();
-    }
-  } mSink;
+  DiscardingSink mSink;
   EventLog mLog;
   asio::io_context mContext;
   std::string mDataCentre = "zagreb";
--- a/Tests/Dispatch/ReportExchangeTest.cxx
+++ b/Tests/Dispatch/ReportExchangeTest.cxx
@@ -5,10 +5,12 @@
 
 #include "Dispatch/ReportExchange.h"
 #include "Dispatch/ScriptedLeader.h"
+#include "Support/DiscardingSink.h"
 #include "Support/FakePeerRpc.h"
 
 using namespace almondspoke;
 using namespace almondspoke::dispatch;
+using almondspoke::testing::DiscardingSink;
 using almondspoke::testing::FakePeerRpc;
 using almondspoke::testing::ManualClock;
 using almondspoke::testing::ScriptedLeader;
@@ -35,13 +37,7 @@
   }
 
   ManualClock mClock;
-  struct : LogSink
-  {
-    std::size_t Write(std::string_view aBytes) override
-    {
-      return aBytes.size();
-    }
-  } mSink;
+  DiscardingSink mSink;
   EventLog mLog{ mClock, mSink };
   FakePeerRpc mRpc;
   WorkerDirectory mDirectory{ std::chrono::seconds(12) };
--- a/Tests/Dispatch/RunEvidenceSeededTest.cxx
+++ b/Tests/Dispatch/RunEvidenceSeededTest.cxx
@@ -6,10 +6,12 @@
 #include <catch2/catch.hpp>
 
 #include "Dispatch/DispatchFixture.h"
+#include "Support/RandomDraws.h"
 
 using namespace almondspoke;
 using namespace almondspoke::dispatch;
 using almondspoke::testing::DispatchFixture;
+using almondspoke::testing::RandomDraws;
 using std::chrono::milliseconds;
 
 namespace {
@@ -22,12 +24,12 @@
 constexpr milliseconds kRetransmit{ 1300 };
 
 /** \brief A random run of jobs of several steps. */
-class RandomStepsRun
+class RandomStepsRun : private RandomDraws
 {
 public:
   explicit RandomStepsRun(std::uint64_t aSeed)
-    : mFixture(aSeed)
-    , mRandom(aSeed * 6151 + 5)
+    : RandomDraws(aSeed * 6151 + 5)
+    , mFixture(aSeed)
   {
     mFixture.AddWorkers(kWorkers / 2, 30'000, "zagreb");
     mFixture.AddWorkers(kWorkers / 2, 30'000, "sisak");
@@ -73,14 +75,6 @@
     milliseconds mUntilRetry{ 0 };
   };
 
-  bool Chance(double aProbability)
-  {
-    return std::uniform_real_distribution<double>(0, 1)(mRandom) < aProbability;
-  }
-  int Between(int aLow, int aHigh)
-  {
-    return std::uniform_int_distribution<int>(aLow, aHigh)(mRandom);
-  }
   std::string AnyWorker()
   {
     return "w" + std::to_string(Between(0, kWorkers - 1));
@@ -256,7 +250,6 @@
   }
 
   DispatchFixture mFixture;
-  std::mt19937_64 mRandom;
   std::vector<JobCall> mJobs;
   std::vector<OpenCall> mOpenCalls;
   std::vector<OpenCall> mQueries;
--- a/Tests/Dispatch/ScriptedLeader.h
+++ b/Tests/Dispatch/ScriptedLeader.h
@@ -9,6 +9,7 @@
 
 #include "Base/EventLog.h"
 #include "Dispatch/Coordinator.h"
+#include "Support/DiscardingSink.h"
 #include "Support/ManualClock.h"
 
 namespace almondspoke::testing {
@@ -233,13 +234,7 @@
   static constexpr dispatch::WorkerTime kFirstClock = 5;
 
   ManualClock mClock;
-  struct : LogSink
-  {
-    std::size_t Write(std::string_view aBytes) override
-    {
-      return aBytes.size();
-    }
-  } mSink;
+  DiscardingSink mSink;
   EventLog mLog;
   OrderRecorder mOrders;
   dispatch::Coordinator mCoordinator;
--- a/Tests/Dispatch/WorkerIndexTest.cxx
+++ b/Tests/Dispatch/WorkerIndexTest.cxx
@@ -5,10 +5,12 @@
 
 #include "Dispatch/WorkerIndex.h"
 #include "Support/PlacementWalk.h"
+#include "Support/RandomDraws.h"
 
 using namespace almondspoke;
 using namespace almondspoke::dispatch;
 using almondspoke::testing::PlacementWalk;
+using almondspoke::testing::RandomDraws;
 using std::chrono::milliseconds;
 
 namespace {
@@ -18,11 +20,11 @@
 constexpr int kChanges = 400;
 
 /** \brief Workers whose state changes at random, with an index over them. */
-class RandomFleet
+class RandomFleet : private RandomDraws
 {
 public:
   explicit RandomFleet(std::uint64_t aSeed)
-    : mRandom(aSeed)
+    : RandomDraws(aSeed)
   {
     for (int i = 0; i < kWorkers; ++i) {
       AddWorker("w" + std::to_string(i));
@@ -49,11 +51,6 @@
 private:
   using Step = void (RandomFleet::*)(WorkerSession&);
 
-  int Between(int aLow, int aHigh)
-  {
-    return std::uniform_int_distribution<int>(aLow, aHigh)(mRandom);
-  }
-
   WorkerReport RandomReport(const WorkerId& aId)
   {
     WorkerReport report;
@@ -168,7 +165,6 @@
     return isSame ? "" : "placement " + std::to_string(aNumber) + ": worse";
   }
 
-  std::mt19937_64 mRandom;
   Clock::Monotonic mNow{ std::chrono::hours(1) };
   WorkerSessions mWorkers;
   StartWindows mWindows;
--- a/Tests/Platform/ControlApiTest.cxx
+++ b/Tests/Platform/ControlApiTest.cxx
@@ -3,23 +3,19 @@
 #include <nlohmann/json.hpp>
 
 #include "Base/EventLog.h"
+#include "Support/DiscardingSink.h"
 #include "Support/FakeExchange.h"
 #include "Support/ManualClock.h"
 #include "platform/ControlApi.h"
 
 using namespace almondspoke;
 using namespace almondspoke::dispatch;
+using almondspoke::testing::DiscardingSink;
 using almondspoke::testing::FakeExchange;
 using nlohmann::json;
 
 namespace {
 
-class NoSink : public LogSink
-{
-public:
-  std::size_t Write(std::string_view aBytes) override { return aBytes.size(); }
-};
-
 /** \brief Records requests about data centres and answers all alike. */
 class FakeService : public ControlService
 {
@@ -71,7 +67,7 @@
   }
 
   testing::ManualClock mClock;
-  NoSink mSink;
+  DiscardingSink mSink;
   EventLog mLog{ mClock, mSink };
   FakeService mService;
   platform::ControlApi mApi{ mService, mLog };
