Tests: Plays crowds of clients at every address of the processes

Callers of a process that such a crowd reaches got no answer, or the process grew beyond the memory that its settings give it.

The bounds are the limits that the settings, or the system (RLIMIT_DATA), give the processes.

--- a/Tests/Processes/ClientCrowd.h
+++ b/Tests/Processes/ClientCrowd.h
@@ -14,6 +14,9 @@
 
 namespace almondspoke::testing {
 
+inline constexpr std::size_t kKibibyte = 1024;
+inline constexpr std::size_t kMebibyte = 1024 * kKibibyte;
+
 /** Number of connections of each crowd. */
 inline constexpr int kCrowdSize = 60;
 
--- a/Tests/Processes/Installation.h
+++ b/Tests/Processes/Installation.h
@@ -22,8 +22,11 @@
 {
 public:
   /** Starts instances and waits until they are ready.
-   * \param aMoreSettings lines added to each settings file. */
-  explicit Installation(int aInstances, const std::string& aMoreSettings = {})
+   * \param aMoreSettings lines added to each settings file.
+   * \param aMaxDataBytes as for ChildProcess, for each instance */
+  explicit Installation(int aInstances,
+                        const std::string& aMoreSettings = {},
+                        std::size_t aMaxDataBytes = 0)
   {
     const std::vector<int> ports = ReservePorts(2 * aInstances);
     std::string instances;
@@ -54,7 +57,9 @@
       mInstances.emplace_back(
         std::vector<std::string>{
           ALMONDSPOKED_PATH, "--settings", mFolder.File(name + ".ini") },
-        mFolder.File(name + ".log"));
+        mFolder.File(name + ".log"),
+        aMaxDataBytes);
+      mPeerPorts.push_back(static_cast<std::uint16_t>(ports[aInstances + i]));
     }
     for (int i = 0; i < aInstances; ++i) {
       mAllReady = mAllReady &&
@@ -143,6 +148,7 @@
   {
     return mAddresses[aInstance];
   }
+  std::uint16_t PeerPort(int aInstance) const { return mPeerPorts[aInstance]; }
   ChildProcess& Instance(int aInstance)
   {
     return *std::next(mInstances.begin(), aInstance);
@@ -154,6 +160,7 @@
   TemporaryFolder mFolder;
   BlockingClient mClient;
   std::vector<std::string> mAddresses;
+  std::vector<std::uint16_t> mPeerPorts;
   std::list<ChildProcess> mInstances;
   std::list<ChildProcess> mStandIns;
   bool mAllReady = true;
--- a/Tests/Support/ChildProcess.cxx
+++ b/Tests/Support/ChildProcess.cxx
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -17,7 +18,8 @@
 namespace almondspoke::testing {
 
 ChildProcess::ChildProcess(const std::vector<std::string>& aCommand,
-                           std::string aOutputPath)
+                           std::string aOutputPath,
+                           std::size_t aMaxDataBytes)
   : mOutputPath(std::move(aOutputPath))
 {
   std::vector<char*> arguments;
@@ -38,6 +40,10 @@
     ::dup2(output, STDERR_FILENO);
     // Inherited copies of the test's sockets would keep its connections open.
     ::close_range(STDERR_FILENO + 1, ~0U, 0);
+    if (aMaxDataBytes > 0) {
+      const rlimit limit{ aMaxDataBytes, aMaxDataBytes };
+      ::setrlimit(RLIMIT_DATA, &limit);
+    }
     ::execv(arguments[0], arguments.data());
     ::_exit(127);
   }
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -14,9 +15,12 @@
 {
 public:
   /** Starts the process.
-   * \param aOutputPath file to which standard output and error are appended. */
+   * \param aOutputPath file to which standard output and error are appended.
+   * \param aMaxDataBytes memory that the system gives the process; zero for no
+   * limit */
   ChildProcess(const std::vector<std::string>& aCommand,
-               std::string aOutputPath);
+               std::string aOutputPath,
+               std::size_t aMaxDataBytes = 0);
   ChildProcess(ChildProcess&& aOther) noexcept;
   ChildProcess& operator=(ChildProcess&&) = delete;
   ChildProcess(const ChildProcess&) = delete;
--- a/Utilities/CMake/AlmondspokeTargets.cmake
+++ b/Utilities/CMake/AlmondspokeTargets.cmake
@@ -29,12 +29,17 @@
   target_link_libraries(${name} PUBLIC almondspoke_flags Threads::Threads)
 endfunction()
 
-# almondspoke_test(NAME sources...) adds one Catch2 program and registers it
-# with the cases that ALMONDSPOKE_TEST_CASES selects, all by default.
-function(almondspoke_test name)
+# almondspoke_test_program(NAME sources...) adds one Catch2 program.
+function(almondspoke_test_program name)
   add_executable(${name} ${ARGN})
   target_link_libraries(${name} PRIVATE almondspoke_test_main almondspoke_flags)
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/Tests)
+endfunction()
+
+# almondspoke_test(NAME sources...) adds one Catch2 program and registers it
+# with the cases that ALMONDSPOKE_TEST_CASES selects, all by default.
+function(almondspoke_test name)
+  almondspoke_test_program(${name} ${ARGN})
   add_test(NAME ${name} COMMAND ${name} ${ALMONDSPOKE_TEST_CASES})
   set_tests_properties(${name} PROPERTIES
     WORKING_DIRECTORY ${CMAKE_CURRENT_SOURCE_DIR} TIMEOUT 600)
