Transport: Limits what connections between instances take

Callers saw nothing at first; the process grew until its machine ended it. Cause: the port between instances took any number of connections, and a frame of up to 64 MiB on each, before and after the sender had named itself; nothing added them up. A failed accept was retried without a pause.

A sender that has not named itself may send a hello of 4 KiB. Incomplete frames are charged to one account, the RequestMemory of the HTTP servers; if it is exhausted, the session with the largest frame is closed. The number of sessions is limited: one more closes the oldest that has named no instance, or else the one that was silent for the longest time, so that instances which talk keep their places. The write queue of a link has its share too. The shares follow from memory-mb and max-descriptors. Rejections are logged at most five times a second.

--- a/Source/Dispatch/ClientLimits.cxx
+++ b/Source/Dispatch/ClientLimits.cxx
@@ -40,6 +40,51 @@
 
 constexpr int kMmapThresholdBytes = 131072;
 
+/** Parts of the memory of the process for incoming connections from instances,
+ * for the incomplete frames on them, and for the write queue to an instance. */
+constexpr std::size_t kSessionShare = 16;
+constexpr std::size_t kFrameShare = 16;
+constexpr std::size_t kQueueShare = 16;
+
+/** What an incoming connection from an instance takes: its buffers and its
+ * state. */
+constexpr std::size_t kSessionBytes = 40960;
+
+/** Part of the descriptors for connections from instances. */
+constexpr std::size_t kSessionDescriptorShare = 4;
+
+/** Least memory for a frame: a manifest of the largest size, as encoded. */
+constexpr std::size_t kMinFrameBytes = 6 * kMebibyte;
+
+/** Rest of the descriptors, beside those reserved. */
+std::size_t
+UsableDescriptors(const NodeSettings& aSettings)
+{
+  return std::max<std::size_t>(aSettings.mMaxDescriptors,
+                               kReservedDescriptors) -
+         kReservedDescriptors;
+}
+
+PeerLimits
+PeerLimitsOf(const NodeSettings& aSettings)
+{
+  PeerLimits limits;
+  if (aSettings.mMemoryMegabytes > 0) {
+    const std::size_t bytes = aSettings.mMemoryMegabytes * kMebibyte;
+    limits.mMaxSessions =
+      std::min(limits.mMaxSessions, bytes / kSessionShare / kSessionBytes);
+    limits.mMaxFrameBytes = std::max(bytes / kFrameShare, kMinFrameBytes);
+    limits.mMaxQueuedBytes = std::max(bytes / kQueueShare, kMinFrameBytes);
+  }
+  if (aSettings.mMaxDescriptors > 0) {
+    limits.mMaxSessions =
+      std::min(limits.mMaxSessions,
+               UsableDescriptors(aSettings) / kSessionDescriptorShare);
+  }
+  limits.mMaxSessions = std::max(limits.mMaxSessions, kMinConnections);
+  return limits;
+}
+
 std::size_t
 MaxConnections(const NodeSettings& aSettings, std::size_t aDefault)
 {
@@ -50,10 +95,8 @@
                              kConnectionShare / kConnectionBytes);
   }
   if (aSettings.mMaxDescriptors > 0) {
-    const std::size_t usable =
-      std::max<std::size_t>(aSettings.mMaxDescriptors, kReservedDescriptors) -
-      kReservedDescriptors;
-    connections = std::min(connections, usable / kDescriptorShare);
+    connections =
+      std::min(connections, UsableDescriptors(aSettings) / kDescriptorShare);
   }
   return std::max(connections, kMinConnections);
 }
@@ -76,6 +119,7 @@
     limits.mProbes.mMaxUnfinishedBytes =
       std::max(bytes / kProbeShare, 2 * kMebibyte);
   }
+  limits.mPeers = PeerLimitsOf(aSettings);
   return limits;
 }
 
--- a/Source/Dispatch/ClientLimits.h
+++ b/Source/Dispatch/ClientLimits.h
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "Dispatch/NodeSettings.h"
+#include "Transport/PeerLink.h"
 
 namespace almondspoke::dispatch {
 
@@ -23,6 +24,8 @@
   ListenerLimits mMain;
   /** The addresses of probes and metrics, each. */
   ListenerLimits mProbes;
+  /** The port between instances. */
+  PeerLimits mPeers;
 };
 
 /** Derives the limits from the memory and the descriptors that the process may
--- a/Source/Transport/AsioPeerTransport.cxx
+++ b/Source/Transport/AsioPeerTransport.cxx
@@ -17,20 +17,28 @@
  * from exhausting the file descriptors. */
 constexpr std::size_t kMaxLinks = 512;
 
+constexpr std::chrono::milliseconds kAcceptRetry{ 100 };
+
 }
 
 AsioPeerTransport::AsioPeerTransport(asio::io_context& aContext,
                                      InstanceIdentity aSelf,
                                      asio::ip::tcp::endpoint aListen,
                                      const std::vector<PeerAddress>& aPeers,
-                                     const PeerTimings& aTimings)
+                                     const PeerTimings& aTimings,
+                                     const PeerLimits& aLimits)
   : mContext(aContext)
   , mSelf(std::move(aSelf))
   , mListen(std::move(aListen))
   , mAcceptor(aContext)
+  , mAcceptTimer(aContext)
   , mTimings(aTimings)
+  , mLimits(aLimits)
   , mHello(
       EncodePeerHello(PeerHello{ kPeerProtocolVersion, mSelf, true, true }))
+  , mSessions(aLimits.mMaxSessions)
+  , mFrameMemory(
+      std::make_shared<detail::RequestMemory>(aLimits.mMaxFrameBytes))
 {
   for (const PeerAddress& peer : aPeers) {
     if (peer.mName == mSelf.mName) {
@@ -54,7 +62,8 @@
     [this, name = aPeer.mName](const PeerFrame& aFrame) {
       Deliver(name, aFrame);
     },
-    mTimings);
+    mTimings,
+    mLimits.mMaxQueuedBytes);
 }
 
 void
@@ -130,6 +139,7 @@
   asio::post(mContext, [this] {
     asio::error_code ignored;
     mAcceptor.close(ignored);
+    mAcceptTimer.cancel();
   });
   const std::lock_guard<std::mutex> lock(mLinksMutex);
   for (const auto& [name, link] : mLinks) {
@@ -147,7 +157,7 @@
     return;
   }
   const std::shared_ptr<PeerSession> session =
-    aFrame.mIsAnswer ? SessionFrom(aTo) : nullptr;
+    aFrame.mIsAnswer ? mSessions.AnswersTo(aTo) : nullptr;
   if (session) {
     session->Send(EncodePeerFrame(aFrame));
     return;
@@ -202,49 +212,40 @@
         return;
       }
       if (!aError) {
-        ApplySocketOptions(aSocket, mTimings.mUserTimeout);
-        std::make_shared<PeerSession>(
-          std::move(aSocket), *this, mTraffic, mTimings)
-          ->Start();
+        AcceptSession(std::move(aSocket));
+        Accept();
+        return;
       }
-      Accept();
+      // Without descriptors, for example, the next call fails at once.
+      mAcceptTimer.expires_after(kAcceptRetry);
+      mAcceptTimer.async_wait([this](asio::error_code aTimerError) {
+        if (!aTimerError && mAcceptor.is_open()) {
+          Accept();
+        }
+      });
     });
 }
 
 void
-AsioPeerTransport::Deliver(const InstanceName& aFrom,
-                           const PeerFrame& aFrame) const
+AsioPeerTransport::AcceptSession(asio::ip::tcp::socket aSocket)
 {
-  const Handler& handler = mHandlers[static_cast<std::size_t>(aFrame.mChannel)];
-  if (handler) {
-    handler(aFrom, aFrame);
+  ApplySocketOptions(aSocket, mTimings.mUserTimeout);
+  const auto session = std::make_shared<PeerSession>(
+    std::move(aSocket), *this, mTraffic, mTimings, mFrameMemory);
+  const std::shared_ptr<PeerSession> displaced = mSessions.Add(session);
+  if (displaced) {
+    displaced->Displace();
   }
-}
-
-std::shared_ptr<PeerSession>
-AsioPeerTransport::SessionFrom(const InstanceName& aName) const
-{
-  const std::lock_guard<std::mutex> lock(mSessionsMutex);
-  const auto session = mSessions.find(aName);
-  return session == mSessions.end() ? nullptr : session->second.lock();
+  session->Start();
 }
 
 void
-AsioPeerTransport::OnSession(const InstanceName& aFrom,
-                             const std::shared_ptr<PeerSession>& aSession)
-{
-  const std::lock_guard<std::mutex> lock(mSessionsMutex);
-  mSessions[aFrom] = aSession;
-}
-
-void
-AsioPeerTransport::OnSessionClosed(const InstanceName& aFrom,
-                                   const PeerSession& aSession)
+AsioPeerTransport::Deliver(const InstanceName& aFrom,
+                           const PeerFrame& aFrame) const
 {
-  const std::lock_guard<std::mutex> lock(mSessionsMutex);
-  const auto session = mSessions.find(aFrom);
-  if (session != mSessions.end() && session->second.lock().get() == &aSession) {
-    mSessions.erase(session);
+  const Handler& handler = mHandlers[static_cast<std::size_t>(aFrame.mChannel)];
+  if (handler) {
+    handler(aFrom, aFrame);
   }
 }
 
--- a/Source/Transport/AsioPeerTransport.h
+++ b/Source/Transport/AsioPeerTransport.h
@@ -13,11 +13,14 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include "Base/InstanceIdentity.h"
 #include "Base/Result.h"
 #include "Transport/PeerLink.h"
+#include "Transport/PeerSessionTable.h"
 #include "Transport/PeerTransport.h"
+#include "Transport/RequestMemory.h"
 
 namespace almondspoke {
 
@@ -33,8 +36,6 @@
 using PeerResolver = std::function<std::optional<asio::ip::tcp::endpoint>(
   const InstanceName& aName)>;
 
-class PeerSession;
-
 /** \brief PeerTransport over TCP.
  *
  * Opens one outgoing connection to each peer. Accepts incoming connections only
@@ -47,7 +48,8 @@
                     InstanceIdentity aSelf,
                     asio::ip::tcp::endpoint aListen,
                     const std::vector<PeerAddress>& aPeers,
-                    const PeerTimings& aTimings = {});
+                    const PeerTimings& aTimings = {},
+                    const PeerLimits& aLimits = {});
   ~AsioPeerTransport() override;
 
   AsioPeerTransport(const AsioPeerTransport&) = delete;
@@ -88,26 +90,23 @@
    * the instance; null otherwise. */
   std::shared_ptr<PeerLink> LinkTo(const InstanceName& aName) const;
   std::shared_ptr<PeerLink> ExistingLink(const InstanceName& aName) const;
-  /** Returns the open incoming connection from an instance that accepts answers
-   * on it, or null. */
-  std::shared_ptr<PeerSession> SessionFrom(const InstanceName& aName) const;
-  void OnSession(const InstanceName& aFrom,
-                 const std::shared_ptr<PeerSession>& aSession);
-  void OnSessionClosed(const InstanceName& aFrom, const PeerSession& aSession);
+  void AcceptSession(asio::ip::tcp::socket aSocket);
 
   asio::io_context& mContext;
   InstanceIdentity mSelf;
   asio::ip::tcp::endpoint mListen;
   asio::ip::tcp::acceptor mAcceptor;
+  asio::steady_timer mAcceptTimer;
   const PeerTimings mTimings;
+  const PeerLimits mLimits;
   const std::string mHello;
   PeerResolver mResolver;
   mutable std::mutex mLinksMutex;
   mutable std::map<InstanceName, std::shared_ptr<PeerLink>> mLinks;
   std::array<Handler, static_cast<std::size_t>(kLastPeerChannel) + 1> mHandlers;
   mutable PeerTraffic mTraffic;
-  mutable std::mutex mSessionsMutex;
-  std::map<InstanceName, std::weak_ptr<PeerSession>> mSessions;
+  PeerSessionTable mSessions;
+  const std::shared_ptr<detail::RequestMemory> mFrameMemory;
 };
 
 }
--- a/Source/Transport/PeerLink.cxx
+++ b/Source/Transport/PeerLink.cxx
@@ -27,13 +27,15 @@
                    std::string aHello,
                    PeerTraffic& aTraffic,
                    AnswerHandler aOnAnswer,
-                   const PeerTimings& aTimings)
+                   const PeerTimings& aTimings,
+                   std::size_t aMaxQueuedBytes)
   : mStrand(asio::make_strand(aContext))
   , mPeer(std::move(aPeer))
   , mAddress(std::move(aAddress))
   , mHello(std::move(aHello))
   , mTraffic(aTraffic)
   , mTimings(aTimings)
+  , mMaxQueuedBytes(aMaxQueuedBytes)
   , mSocket(mStrand)
   , mTimer(mStrand)
   , mRandom(std::random_device{}())
@@ -75,7 +77,7 @@
 PeerLink::Flush()
 {
   for (std::string& frame : mOutbox.TakeAll()) {
-    const bool full = mQueuedBytes + frame.size() > kMaxQueuedPeerBytes;
+    const bool full = mQueuedBytes + frame.size() > mMaxQueuedBytes;
     if (!mConnected || full) {
       ++mTraffic.mFramesDropped;
       continue;
--- a/Source/Transport/PeerLink.h
+++ b/Source/Transport/PeerLink.h
@@ -64,8 +64,17 @@
   std::chrono::milliseconds mIdleLivenessPeriod{ kPeerIdleLivenessPeriod };
 };
 
-/** Maximum size of a connection's write queue; further frames are dropped. */
-constexpr std::size_t kMaxQueuedPeerBytes = 96UL * 1024UL * 1024UL;
+/** \brief Limits on what connections between instances take. */
+struct PeerLimits
+{
+  /** Maximum number of incoming connections. One more closes the least useful.
+   */
+  std::size_t mMaxSessions = 512;
+  /** Maximum memory of incomplete frames on all incoming connections. */
+  std::size_t mMaxFrameBytes = 128UL * 1024UL * 1024UL;
+  /** Maximum size of a connection's write queue; further frames are dropped. */
+  std::size_t mMaxQueuedBytes = 96UL * 1024UL * 1024UL;
+};
 
 /** \brief The outgoing connection to one other instance.
  *
@@ -84,7 +93,8 @@
            std::string aHello,
            PeerTraffic& aTraffic,
            AnswerHandler aOnAnswer,
-           const PeerTimings& aTimings = {});
+           const PeerTimings& aTimings = {},
+           std::size_t aMaxQueuedBytes = PeerLimits{}.mMaxQueuedBytes);
 
   void Start();
   void Stop();
@@ -124,6 +134,7 @@
   std::string mHello;
   PeerTraffic& mTraffic;
   const PeerTimings mTimings;
+  const std::size_t mMaxQueuedBytes;
 
   asio::ip::tcp::socket mSocket;
   asio::steady_timer mTimer;
--- a/Source/Transport/PeerSession.cxx
+++ b/Source/Transport/PeerSession.cxx
@@ -15,25 +15,70 @@
 namespace {
 
 // A larger buffer is freed once its frames were handled.
-constexpr std::size_t kMaxRetainedBufferBytes = 64UL * 1024UL;
+constexpr std::size_t kMaxRetainedBufferBytes = 16UL * 1024UL;
+
+/** Size of an incomplete frame from which on it is charged. Smaller ones are
+ * bounded by the number of sessions. */
+constexpr std::size_t kMinChargedBytes = 4096;
+
+/** Maximum size of a hello: nothing is known of its sender yet. */
+constexpr std::size_t kMaxHelloBytes = 4096;
+
 /** Time within which the hello has to arrive. The connecting end closes a
  * connection on which it receives nothing earlier than that. */
 constexpr std::chrono::seconds kHelloTimeout{ 5 };
 
+/** Least time between two log lines of rejections. */
+constexpr double kRejectionLogSeconds = 0.2;
+
 }
 
 PeerSession::PeerSession(asio::ip::tcp::socket aSocket,
                          AsioPeerTransport& aTransport,
                          PeerTraffic& aTraffic,
-                         const PeerTimings& aTimings)
+                         const PeerTimings& aTimings,
+                         std::shared_ptr<detail::RequestMemory> aMemory)
   : mSocket(std::move(aSocket))
   , mTransport(aTransport)
   , mTraffic(aTraffic)
   , mTimings(aTimings)
+  , mMemory(std::move(aMemory))
   , mTimer(mSocket.get_executor())
 {
 }
 
+PeerSession::~PeerSession()
+{
+  mMemory->Remove(*this);
+}
+
+void
+PeerSession::Displace()
+{
+  RejectSoon(Error(ErrorKind::QueueFull,
+                   "another connection needs the place of this one, which has "
+                   "named no instance or was silent for the longest time"));
+}
+
+// Called with the account locked, on the thread of any session.
+void
+PeerSession::Refuse(std::optional<Error> aError)
+{
+  RejectSoon(std::move(*aError));
+}
+
+void
+PeerSession::RejectSoon(Error aError)
+{
+  asio::post(mSocket.get_executor(),
+             [weak = weak_from_this(), error = std::move(aError)] {
+               const auto self = weak.lock();
+               if (self && self->mSocket.is_open()) {
+                 self->Reject(error);
+               }
+             });
+}
+
 void
 PeerSession::Start()
 {
@@ -67,7 +112,8 @@
 PeerSession::Flush()
 {
   for (const std::string& frame : mOutbox.TakeAll()) {
-    const bool full = mQueued.size() + frame.size() > kMaxQueuedPeerBytes;
+    const bool full =
+      mQueued.size() + frame.size() > mTransport.mLimits.mMaxQueuedBytes;
     if (!mSocket.is_open() || full) {
       ++mTraffic.mFramesDropped;
       continue;
@@ -89,6 +135,7 @@
         return;
       }
       self->OnFrameBegins();
+      self->mTransport.mSessions.Touch(*self);
       self->mIncoming.append(self->mRead.data(), aBytes);
       if (self->HandleFrames()) {
         self->Read();
@@ -101,9 +148,7 @@
 {
   std::size_t offset = 0;
   while (mIncoming.size() - offset >= kPeerLengthBytes) {
-    std::array<char, kPeerLengthBytes> bytes{};
-    std::copy_n(mIncoming.data() + offset, kPeerLengthBytes, bytes.begin());
-    const Result<std::size_t> length = DecodePeerLength(bytes);
+    const Result<std::size_t> length = FrameLength(offset);
     if (length.has_error()) {
       Reject(length.error());
       return false;
@@ -125,9 +170,37 @@
   if (!mInsideFrame && mIncoming.capacity() > kMaxRetainedBufferBytes) {
     mIncoming = std::string();
   }
+  ChargeIncomplete();
   return true;
 }
 
+Result<std::size_t>
+PeerSession::FrameLength(std::size_t aOffset) const
+{
+  std::array<char, kPeerLengthBytes> bytes{};
+  std::copy_n(mIncoming.data() + aOffset, kPeerLengthBytes, bytes.begin());
+  BOOST_OUTCOME_TRY(length, DecodePeerLength(bytes));
+  if (mFrom.empty() && length > kMaxHelloBytes) {
+    return Error(ErrorKind::BodyTooLarge,
+                 "hello of " + std::to_string(length) +
+                   " bytes (allowed: at most " +
+                   std::to_string(kMaxHelloBytes) + ")");
+  }
+  return length;
+}
+
+void
+PeerSession::ChargeIncomplete()
+{
+  if (mIncoming.size() >= kMinChargedBytes) {
+    mIsCharged = true;
+    mMemory->Update(
+      *this, mIncoming.size(), detail::RequestMemory::Time::max());
+  } else if (std::exchange(mIsCharged, false)) {
+    mMemory->Remove(*this);
+  }
+}
+
 bool
 PeerSession::HandleHello(std::string_view aBody)
 {
@@ -145,9 +218,7 @@
   mFrom = name;
   mAcceptsAnswers = hello.value().mAcceptsAnswers;
   mSupportsIdleInterval = hello.value().mSupportsIdleInterval;
-  if (mAcceptsAnswers) {
-    mTransport.OnSession(mFrom, shared_from_this());
-  }
+  mTransport.mSessions.Name(shared_from_this(), mFrom, mAcceptsAnswers);
   // Liveness bytes must not be sent before the hello, which tells whether the
   // other end reads frames. If it does, a single byte would misalign all frames
   // that follow.
@@ -172,17 +243,18 @@
 void
 PeerSession::Reject(const Error& aError)
 {
-  LOG(WARNING) << "event=peer-rejected peer=" << mFrom << " reason=\""
-               << aError.Message() << '"';
+  LOG_EVERY_T(WARNING, kRejectionLogSeconds)
+    << "event=peer-rejected peer=" << mFrom << " reason=\"" << aError.Message()
+    << '"';
   Close();
 }
 
 void
 PeerSession::Close()
 {
-  if (mAcceptsAnswers) {
-    mTransport.OnSessionClosed(mFrom, *this);
-  }
+  mTransport.mSessions.Remove(*this);
+  mMemory->Remove(*this);
+  mIncoming = std::string();
   mTraffic.mFramesDropped += std::exchange(mQueuedFrames, 0);
   mQueued.clear();
   mTimer.cancel();
