Transport: Bounds what the kernel holds unread for a process

Callers of a gateway that was frozen or got little of its processor lost it: the process was ended for its memory, since bytes that have arrived and are not read count (DEPLOY.md). Cause: a connection's receive buffer grew as the system likes, up to 4,096 connections waited in each listen queue with theirs, and 1,024 closing sockets stood outside every limit.

The read buffer is 8 KiB in place of 16.

--- a/Source/Transport/AsioPeerTransport.cxx
+++ b/Source/Transport/AsioPeerTransport.cxx
@@ -113,7 +113,8 @@
     mAcceptor.bind(mListen, error);
   }
   if (!error) {
-    mAcceptor.listen(asio::socket_base::max_listen_connections, error);
+    LimitReceiveBuffers(mAcceptor, mLimits.mReceiveBufferBytes);
+    mAcceptor.listen(ListenQueueLength(mLimits.mListenQueue), error);
   }
   if (error) {
     return Error(ErrorKind::InvalidSettings,
--- a/Source/Transport/CallerSocket.cxx
+++ b/Source/Transport/CallerSocket.cxx
@@ -1,7 +1,6 @@
 #include "Transport/CallerSocket.h"
 
 #include <array>
-#include <atomic>
 #include <chrono>
 #include <memory>
 #include <string_view>
@@ -16,14 +15,12 @@
 namespace {
 
 constexpr std::chrono::seconds kLingerTimeout{ 2 };
-constexpr std::size_t kMaxLingeringSockets = 1024;
-
-std::atomic<std::size_t> lingeringCount{ 0 };
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 thread_local std::string pendingErrorResponse;
 thread_local std::shared_ptr<ConnectionState> pendingConnection;
 thread_local std::shared_ptr<ArrivingRequest> pendingRequest;
+thread_local std::shared_ptr<LingerCount> pendingLingering;
 
 std::string
 SerializeWithClose(const HttpResponse& aResponse)
@@ -43,15 +40,17 @@
 class LingeringSocket : public std::enable_shared_from_this<LingeringSocket>
 {
 public:
-  explicit LingeringSocket(asio::ip::tcp::socket aSocket)
+  /** \param aCount already counts this socket */
+  LingeringSocket(asio::ip::tcp::socket aSocket,
+                  std::shared_ptr<LingerCount> aCount)
     : mSocket(std::move(aSocket))
     , mTimer(mSocket.get_executor())
+    , mCount(std::move(aCount))
   {
-    ++lingeringCount;
   }
   LingeringSocket(const LingeringSocket&) = delete;
   LingeringSocket& operator=(const LingeringSocket&) = delete;
-  ~LingeringSocket() { --lingeringCount; }
+  ~LingeringSocket() { mCount->Remove(); }
 
   void Start()
   {
@@ -95,10 +94,21 @@
 
   asio::ip::tcp::socket mSocket;
   asio::steady_timer mTimer;
+  const std::shared_ptr<LingerCount> mCount;
 };
 
 }
 
+bool
+LingerCount::TryAdd()
+{
+  if (++mCount <= mMax) {
+    return true;
+  }
+  --mCount;
+  return false;
+}
+
 void
 CallerSocket::SetErrorResponse(const HttpResponse& aResponse)
 {
@@ -107,10 +117,12 @@
 
 void
 CallerSocket::SetConnection(std::shared_ptr<ConnectionState> aConnection,
-                            std::shared_ptr<ArrivingRequest> aRequest)
+                            std::shared_ptr<ArrivingRequest> aRequest,
+                            std::shared_ptr<LingerCount> aLingering)
 {
   pendingConnection = std::move(aConnection);
   pendingRequest = std::move(aRequest);
+  pendingLingering = std::move(aLingering);
 }
 
 CallerSocket::~CallerSocket()
@@ -133,12 +145,6 @@
   return true;
 }
 
-std::size_t
-CallerSocket::LingeringCount()
-{
-  return lingeringCount;
-}
-
 // The library starts the next read in the same call that parsed the header, so
 // the thread-local state that this call has set belongs to this connection.
 void
@@ -149,6 +155,8 @@
     pendingConnection.reset();
     mRequest = std::move(pendingRequest);
     pendingRequest.reset();
+    mLingering = std::move(pendingLingering);
+    pendingLingering.reset();
   }
   if (CallerParser::TakeContinueWanted() && mConnection) {
     mConnection->CallWhenIdle([this] { SendContinue(); });
@@ -190,8 +198,8 @@
   CallerParser::TakeContinueWanted();
   asio::error_code ignored;
   mSocket.cancel(ignored);
-  if (mSocket.is_open() && lingeringCount < kMaxLingeringSockets) {
-    std::make_shared<LingeringSocket>(std::move(mSocket))->Start();
+  if (mSocket.is_open() && mLingering && mLingering->TryAdd()) {
+    std::make_shared<LingeringSocket>(std::move(mSocket), mLingering)->Start();
   }
   mSocket.close(ignored);
 }
--- a/Source/Transport/CallerSocket.h
+++ b/Source/Transport/CallerSocket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstddef>
 #include <memory>
 #include <utility>
@@ -22,6 +23,26 @@
 
 namespace almondspoke::detail {
 
+/** \brief Number of the sockets of a server in their lingering close.
+ * Thread-safe. */
+class LingerCount
+{
+public:
+  explicit LingerCount(std::size_t aMax)
+    : mMax(aMax)
+  {
+  }
+
+  /** Returns false if the maximum is reached. */
+  bool TryAdd();
+  void Remove() { --mCount; }
+  std::size_t Value() const { return mCount; }
+
+private:
+  const std::size_t mMax;
+  std::atomic<std::size_t> mCount{ 0 };
+};
+
 /** \brief The server side socket of a caller's connection, with a lingering
  * close.
  *
@@ -63,10 +84,8 @@
   /** Sets the state of the next new connection that the current thread reads
    * from. */
   static void SetConnection(std::shared_ptr<ConnectionState> aConnection,
-                            std::shared_ptr<ArrivingRequest> aRequest);
-
-  /** Number of sockets in their lingering close. */
-  static std::size_t LingeringCount();
+                            std::shared_ptr<ArrivingRequest> aRequest,
+                            std::shared_ptr<LingerCount> aLingering);
 
   // The HTTP library prescribes the names that follow.
   // NOLINTBEGIN(readability-identifier-naming)
@@ -160,6 +179,7 @@
   asio::ip::tcp::socket mSocket;
   std::shared_ptr<ConnectionState> mConnection;
   std::shared_ptr<ArrivingRequest> mRequest;
+  std::shared_ptr<LingerCount> mLingering;
 };
 
 // Functions that the HTTP library requires for a socket type. It finds them by
--- a/Source/Transport/HttpServer.cxx
+++ b/Source/Transport/HttpServer.cxx
@@ -10,12 +10,14 @@
 #include <asio/steady_timer.hpp>
 #include <glog/logging.h>
 #include <restinio/all.hpp>
+#include <sys/socket.h>
 
 #include "Transport/ArrivingRequest.h"
 #include "Transport/CallerParser.h"
 #include "Transport/CallerSocket.h"
 #include "Transport/ConnectionTable.h"
 #include "Transport/ContextPool.h"
+#include "Transport/SocketOptions.h"
 
 namespace almondspoke {
 
@@ -29,6 +31,7 @@
 using detail::ConnectionState;
 using detail::ConnectionTable;
 using detail::HeldMemory;
+using detail::LingerCount;
 using detail::RequestMemory;
 
 /** \brief State that is shared by all parts of one server. */
@@ -38,11 +41,13 @@
     : mMemory(std::make_shared<RequestMemory>(aOptions.mMaxUnfinishedBytes,
                                               aOptions.mOnRefusal))
     , mLimits(std::make_shared<ArrivalLimits>(aOptions.mRequestLimits))
+    , mLingering(std::make_shared<LingerCount>(aOptions.mQueues.mClosing))
   {
   }
 
   const std::shared_ptr<RequestMemory> mMemory;
   const std::shared_ptr<ArrivalLimits> mLimits;
+  const std::shared_ptr<LingerCount> mLingering;
   ConnectionTable mConnections;
   std::atomic<std::size_t> mOutstanding{ 0 };
   std::atomic<std::size_t> mOpen{ 0 };
@@ -158,7 +163,8 @@
       CallerSocket::SetConnection(
         connection,
         std::make_shared<ArrivingRequest>(
-          mState->mMemory, connection, mState->mLimits));
+          mState->mMemory, connection, mState->mLimits),
+        mState->mLingering);
       ++mState->mOpen;
     } else if (restinio::holds_alternative<closed_t>(cause)) {
       const auto connection =
@@ -342,6 +348,8 @@
   {
     try {
       mServer.open_sync();
+      // The library listens with the system's limit.
+      ::listen(mListener, ListenQueueLength(mOptions.mQueues.mListening));
     } catch (const std::exception& exception) {
       return Error(ErrorKind::InvalidSettings,
                    "cannot listen on " + mOptions.mAddress + ':' +
@@ -387,6 +395,8 @@
           .max_body_size(mOptions.mMaxBodyBytes))
       .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& aAcceptor) {
         mPort = aAcceptor.local_endpoint().port();
+        mListener = aAcceptor.native_handle();
+        LimitReceiveBuffers(aAcceptor, mOptions.mQueues.mReceiveBufferBytes);
       })
       .request_handler([this](const restinio::request_handle_t& aRequest) {
         return Receive(aRequest);
@@ -430,7 +440,7 @@
     });
   }
 
-  static constexpr std::size_t kReadBufferBytes = 16384;
+  static constexpr std::size_t kReadBufferBytes = 8192;
 
   HttpServerOptions mOptions;
   HttpHandler& mHandler;
@@ -440,6 +450,7 @@
    * They complete in round-robin order. */
   const std::size_t mConcurrentAccepts;
   std::uint16_t mPort = 0;
+  int mListener = -1;
   Server mServer;
   asio::steady_timer mExpiryTimer;
   std::atomic<bool> mIsStopped{ false };
@@ -501,7 +512,8 @@
 std::size_t
 HttpServer::OpenConnections() const
 {
-  return mImplementation->State().mOpen + CallerSocket::LingeringCount();
+  return mImplementation->State().mOpen +
+         mImplementation->State().mLingering->Value();
 }
 
 void
--- a/Source/Transport/HttpServer.h
+++ b/Source/Transport/HttpServer.h
@@ -15,6 +15,18 @@
 
 namespace almondspoke {
 
+/** \brief Limits on the connections of a server beside those that are open. */
+struct ConnectionQueues
+{
+  /** Length of the listen queue; zero for the system's limit. */
+  std::size_t mListening = 0;
+  /** Number of sockets in their lingering close; further ones are closed
+   * without, so that the last answer on them may be lost. */
+  std::size_t mClosing = 1024;
+  /** Receive buffer of each connection; zero for the system's. */
+  std::size_t mReceiveBufferBytes = 0;
+};
+
 /** \brief Listening address and limits of a server. */
 struct HttpServerOptions
 {
@@ -28,6 +40,7 @@
   std::size_t mMaxBodyBytes = 16777216;
   /** Further connections wait in the listen queue. */
   std::size_t mMaxConnections = 4096;
+  ConnectionQueues mQueues;
   /** Number of requests that one connection may have in progress. */
   std::size_t mMaxPipelinedRequests = 16;
   /** Maximum memory of unfinished requests, and of finished ones and their
--- a/Source/Transport/PeerLink.h
+++ b/Source/Transport/PeerLink.h
@@ -74,6 +74,10 @@
   std::size_t mMaxFrameBytes = 128UL * 1024UL * 1024UL;
   /** Maximum size of a connection's write queue; further frames are dropped. */
   std::size_t mMaxQueuedBytes = 96UL * 1024UL * 1024UL;
+  /** Length of the listen queue, and receive buffer of each incoming
+   * connection; zero for the system's. */
+  std::size_t mListenQueue = 0;
+  std::size_t mReceiveBufferBytes = 0;
 };
 
 /** \brief The outgoing connection to one other instance.
--- a/Source/Transport/SocketOptions.cxx
+++ b/Source/Transport/SocketOptions.cxx
@@ -37,4 +37,23 @@
     handle, TCP_USER_TIMEOUT, static_cast<unsigned>(aUserTimeout.count()));
 }
 
+void
+LimitReceiveBuffers(asio::ip::tcp::acceptor& aListener,
+                    std::size_t aReceiveBufferBytes)
+{
+  if (aReceiveBufferBytes > 0) {
+    asio::error_code ignored;
+    aListener.set_option(asio::socket_base::receive_buffer_size(
+                           static_cast<int>(aReceiveBufferBytes)),
+                         ignored);
+  }
+}
+
+int
+ListenQueueLength(std::size_t aQueue)
+{
+  return aQueue > 0 ? static_cast<int>(aQueue)
+                    : asio::socket_base::max_listen_connections;
+}
+
 }
--- a/Source/Transport/SocketOptions.h
+++ b/Source/Transport/SocketOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 
 #include <asio/ip/tcp.hpp>
 
@@ -13,4 +14,16 @@
 ApplySocketOptions(asio::ip::tcp::socket& aSocket,
                    std::chrono::milliseconds aUserTimeout);
 
+/** Limits what the kernel holds unread of each connection that the listener
+ * will accept to about twice the size. Must be called before listen(). Zero
+ * leaves the system's limit. */
+void
+LimitReceiveBuffers(asio::ip::tcp::acceptor& aListener,
+                    std::size_t aReceiveBufferBytes);
+
+/** Length to listen with.
+ * \param aQueue zero for the system's limit */
+int
+ListenQueueLength(std::size_t aQueue);
+
 }
