Tests: Sends jobs to a gateway whose coordinator is frozen

Whether the memory of jobs in progress is bounded it no longer shows, so this adds the shape that breaks it at the size of the smallest front machine: 1,500 connections with 50 jobs each while no coordinator answers.

The name of the case lost its comma, which Catch2 reads as a list.

--- a/Tests/Processes/CrowdMemoryTest.cxx
+++ b/Tests/Processes/CrowdMemoryTest.cxx
@@ -143,6 +143,31 @@
 
 constexpr std::chrono::seconds kTryTimeout{ 3 };
 
+/** Sends jobs without reading their answers, and after that bodies that are
+ * never completed. */
+void
+CheckJobsAndBodies(DispatchProcesses& aProcesses,
+                   int aConnections,
+                   std::size_t aMegabytes)
+{
+  constexpr int kJobs = 50;
+  constexpr std::size_t kBodyBytes = 262144;
+  HeldPeak gateway(aProcesses.Gateway().Id(), GatewayAddresses(aProcesses));
+  {
+    SocketCrowd jobs(
+      { aProcesses.CallersPort() }, aConnections, LargeJobs(kJobs));
+    SendAll({ &jobs }, gateway);
+    CHECK(aProcesses.AnswersOrdinaryRequests());
+  }
+  CHECK(aProcesses.AnswersOrdinaryRequests());
+  SocketCrowd bodies({ aProcesses.CallersPort() },
+                     aConnections,
+                     UnfinishedPost("/p/j", kBodyBytes));
+  SendAll({ &bodies }, gateway);
+  CHECK(aProcesses.AnswersOrdinaryRequests());
+  CheckHeld(aProcesses.Gateway(), gateway, aMegabytes);
+}
+
 /** Sends to the addresses of a process that does not run at that time. */
 void
 SendToFrozen(ChildProcess& aProcess,
@@ -242,27 +267,33 @@
   CheckHeld(processes.Coordinator(), coordinator, kCoordinatorMegabytes);
 }
 
-TEST_CASE("Crowds: many jobs in one write, and what they leave behind")
+TEST_CASE("Crowds: many jobs in one write and what they leave behind")
 {
+  DispatchProcesses processes(kSmallMachines);
+  REQUIRE(processes.IsReady());
   constexpr int kConnections = 300;
+  CheckJobsAndBodies(processes, kConnections, kGatewayMegabytes);
+}
+
+TEST_CASE("Crowds: many jobs while the coordinator is frozen")
+{
+  constexpr ProcessLimits kSmallestMachines{ 120, 256, 3075, 0 };
+  constexpr int kConnections = 1500;
   constexpr int kJobs = 50;
-  constexpr std::size_t kBodyBytes = 262144;
-  DispatchProcesses processes(kSmallMachines);
+  DispatchProcesses processes(kSmallestMachines);
   REQUIRE(processes.IsReady());
   HeldPeak gateway(processes.Gateway().Id(), GatewayAddresses(processes));
   {
     SocketCrowd jobs(
       { processes.CallersPort() }, kConnections, LargeJobs(kJobs));
+    processes.Coordinator().Signal(SIGSTOP);
     SendAll({ &jobs }, gateway);
-    CHECK(processes.AnswersOrdinaryRequests());
+    processes.Coordinator().Signal(SIGCONT);
   }
   CHECK(processes.AnswersOrdinaryRequests());
-  SocketCrowd bodies({ processes.CallersPort() },
-                     kConnections,
-                     UnfinishedPost("/p/j", kBodyBytes));
-  SendAll({ &bodies }, gateway);
-  CHECK(processes.AnswersOrdinaryRequests());
-  CheckHeld(processes.Gateway(), gateway, kGatewayMegabytes);
+  CheckHeld(processes.Gateway(), gateway, kSmallestMachines.mGatewayMegabytes);
+  CheckJobsAndBodies(
+    processes, kConnections, kSmallestMachines.mGatewayMegabytes);
 }
 
 TEST_CASE("Crowds: silent connections take all places of the callers")
