Transport: Charges the copies of requests in progress

Callers of a gateway without a leader that answers lost it: jobs in progress took several times the memory that they were charged. Cause: a finished request was charged its text only; the exchange, the decoded call, its encoded copy and the frame in the queue of the link were not counted.

--- a/Source/Transport/HttpServer.cxx
+++ b/Source/Transport/HttpServer.cxx
@@ -415,7 +415,8 @@
     }
     ++mState->mOutstanding;
     ArrivingRequest* arriving = ArrivingRequest::Current();
-    const std::size_t bytes = arriving != nullptr ? arriving->Finish() : 0;
+    const std::size_t bytes = RequestMemory::InProgressBytes(
+      arriving != nullptr ? arriving->Finish() : 0);
     const bool hasRoom = mState->mMemory->Acquire(bytes);
     const auto exchange = std::make_shared<ServerExchange>(
       mState, connection, aRequest, hasRoom ? bytes : 0);
--- a/Source/Transport/RequestMemory.cxx
+++ b/Source/Transport/RequestMemory.cxx
@@ -1,5 +1,7 @@
 #include "Transport/RequestMemory.h"
 
+#include <algorithm>
+
 namespace almondspoke::detail {
 
 namespace {
@@ -7,6 +9,14 @@
 /** Part of the account that only small requests may use. */
 constexpr std::size_t kReserveDivisor = 8;
 
+/** State of a request in progress: the exchange, the call and its timers, and
+ * the headers of the answer. */
+constexpr std::size_t kStateBytes = 4096;
+
+/** Number of copies of a request besides its text, and their limit. */
+constexpr std::size_t kCopies = 3;
+constexpr std::size_t kMaxCopyBytes = 65536;
+
 constexpr std::chrono::milliseconds kRetryAfter{ 1000 };
 
 /** Time until a request that may not be refused at its deadline is looked at
@@ -77,6 +87,12 @@
   aRequest.mIsRefused = false;
 }
 
+std::size_t
+RequestMemory::InProgressBytes(std::size_t aBytes)
+{
+  return kStateBytes + aBytes + std::min(kCopies * aBytes, kMaxCopyBytes);
+}
+
 bool
 RequestMemory::Acquire(std::size_t aBytes)
 {
--- a/Source/Transport/RequestMemory.h
+++ b/Source/Transport/RequestMemory.h
@@ -122,6 +122,11 @@
   /** Ends the charge of a request that is finished or closed. */
   void Remove(Request& aRequest);
 
+  /** Memory that a finished request takes until it is answered: its text, its
+   * state, and the copies of it that are decoded, passed on and queued. Of a
+   * large one, only one copy is made at a time. */
+  static std::size_t InProgressBytes(std::size_t aBytes);
+
   /** Charges a finished request. \return false if there is not enough memory;
    * then nothing is charged. */
   bool Acquire(std::size_t aBytes);
