Transport: Closes quiet connections when an address is full

Ordinary callers, workers and probes got no answer while others held all connections of an address, silent or with answers that they did not read: new connections waited in the listen queue for the idle limit of 30 s.

A server keeps its connections without an unanswered request in the order in which they became quiet (QuietConnections). One whose caller waits for an answer is never closed, and a request that arrives meanwhile keeps its connection. A send buffer of 16 KiB makes unread answers wait in the process, so that a connection that does not read becomes quiet. New metric almondspoke_listener_connections_displaced_total.

--- a/Source/Dispatch/ClientLimits.cxx
+++ b/Source/Dispatch/ClientLimits.cxx
@@ -44,6 +44,9 @@
 constexpr std::size_t kPeerReceiveBufferBytes = 16 * kKibibyte;
 constexpr std::size_t kKernelFactor = 2;
 
+/** Send buffer of a connection: some hundred ordinary answers. */
+constexpr std::size_t kSendBufferBytes = 16 * kKibibyte;
+
 /** Read buffer and state of a connection in the process. */
 constexpr std::size_t kConnectionStateBytes = 12 * kKibibyte;
 constexpr std::size_t kSessionStateBytes = 34 * kKibibyte;
@@ -130,6 +133,7 @@
   aLimits.mQueues.mListening = connections / kListenQueueShare;
   aLimits.mQueues.mClosing = connections / kClosingShare;
   aLimits.mQueues.mReceiveBufferBytes = kReceiveBufferBytes;
+  aLimits.mQueues.mSendBufferBytes = kSendBufferBytes;
 }
 
 PeerLimits
--- a/Source/Transport/ArrivingRequest.cxx
+++ b/Source/Transport/ArrivingRequest.cxx
@@ -103,11 +103,11 @@
 }
 
 void
-ArrivingRequest::Attach(Post aPost, Task aCancelRead)
+ArrivingRequest::Attach(Post aPost, Task aCancel)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   mPost = std::move(aPost);
-  mCancelRead = std::move(aCancelRead);
+  mCancel = std::move(aCancel);
 }
 
 bool
@@ -123,7 +123,7 @@
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     mIsDetached = true;
-    mCancelRead = nullptr;
+    mCancel = nullptr;
     mRefusal.reset();
   }
   mMemory->Remove(*this);
@@ -146,25 +146,44 @@
 ArrivingRequest::Refuse(std::optional<Error> aError)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  const std::weak_ptr<ArrivingRequest> weak = weak_from_this();
-  if (mIsDetached || !mPost || weak.expired()) {
+  if (mIsDetached || !mPost || weak_from_this().expired()) {
     return;
   }
   mRefusal = Refusal{ std::move(aError) };
-  mPost([weak] {
-    if (const auto self = weak.lock()) {
-      self->CancelRead();
-    }
-  });
+  PostCancel(&ArrivingRequest::IsRefused);
 }
 
 void
-ArrivingRequest::CancelRead()
+ArrivingRequest::Displace()
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  if (mRefusal && mCancelRead) {
-    mCancelRead();
+  if (mIsDetached || !mPost) {
+    return;
   }
+  mIsDisplaced = true;
+  PostCancel(&ArrivingRequest::MayBeDisplaced);
+}
+
+bool
+ArrivingRequest::TakeDisplacement()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return std::exchange(mIsDisplaced, false) && !mConnection->HasUnanswered();
+}
+
+void
+ArrivingRequest::PostCancel(bool (ArrivingRequest::*aMayCancel)() const)
+{
+  mPost([weak = weak_from_this(), aMayCancel] {
+    const auto self = weak.lock();
+    if (!self) {
+      return;
+    }
+    const std::lock_guard<std::mutex> lock(self->mMutex);
+    if ((*self.*aMayCancel)() && self->mCancel) {
+      self->mCancel();
+    }
+  });
 }
 
 }
--- a/Source/Transport/ArrivingRequest.h
+++ b/Source/Transport/ArrivingRequest.h
@@ -94,8 +94,8 @@
   void Settle();
 
   /** Sets how a task is run on the thread of the connection, and how its
-   * pending read is cancelled. */
-  void Attach(Post aPost, Task aCancelRead);
+   * pending reads and writes are cancelled. */
+  void Attach(Post aPost, Task aCancel);
   bool IsAttached() const;
 
   /** Ends the charge; the connection is closed. */
@@ -113,8 +113,20 @@
   bool MayBeRefused() const override;
   void Refuse(std::optional<Error> aError) override;
 
+  /** Closes the connection, unless a request on it waits to be answered by
+   * then. Thread-safe. */
+  void Displace();
+
+  /** Returns and clears whether the connection must be closed for that. */
+  bool TakeDisplacement();
+
 private:
-  void CancelRead();
+  void PostCancel(bool (ArrivingRequest::*aMayCancel)() const);
+  bool IsRefused() const { return mRefusal.has_value(); }
+  bool MayBeDisplaced() const
+  {
+    return mIsDisplaced && !mConnection->HasUnanswered();
+  }
 
   const std::shared_ptr<RequestMemory> mMemory;
   const std::shared_ptr<ConnectionState> mConnection;
@@ -129,9 +141,10 @@
 
   mutable std::mutex mMutex;
   Post mPost;
-  Task mCancelRead;
+  Task mCancel;
   bool mIsDetached = false;
   std::optional<Refusal> mRefusal;
+  bool mIsDisplaced = false;
 };
 
 }
--- a/Source/Transport/CallerSocket.h
+++ b/Source/Transport/CallerSocket.h
@@ -119,7 +119,7 @@
             return;
           }
           const ArrivingRequest::Scope scope(*request);
-          if (TakeRefusal(*request)) {
+          if (TakeRefusal(*request) || request->TakeDisplacement()) {
             aError = asio::error::no_buffer_space;
           }
           handler(aError, aSize);
@@ -136,12 +136,17 @@
       asio::bind_executor(
         asio::get_associated_executor(aHandler, mSocket.get_executor()),
         [request = mRequest, handler = std::forward<Handler>(aHandler)](
-          const asio::error_code& aError, std::size_t aSize) mutable {
+          asio::error_code aError, std::size_t aSize) mutable {
           if (!request) {
             handler(aError, aSize);
             return;
           }
           const ArrivingRequest::Scope scope(*request);
+          // The library ignores a write that was cancelled.
+          if (aError == asio::error::operation_aborted &&
+              request->TakeDisplacement()) {
+            aError = asio::error::no_buffer_space;
+          }
           handler(aError, aSize);
           request->Settle();
         }));
--- a/Source/Transport/ConnectionTable.cxx
+++ b/Source/Transport/ConnectionTable.cxx
@@ -12,6 +12,7 @@
     return false;
   }
   ++mOutstanding;
+  ++mUnanswered;
   mIdleObserver = nullptr;
   return true;
 }
@@ -105,6 +106,20 @@
   return mOutstanding;
 }
 
+void
+ConnectionState::MarkAnswered()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  --mUnanswered;
+}
+
+bool
+ConnectionState::HasUnanswered() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mUnanswered > 0;
+}
+
 std::shared_ptr<ConnectionState>
 ConnectionTable::Add(std::uint64_t aConnection)
 {
--- a/Source/Transport/ConnectionTable.h
+++ b/Source/Transport/ConnectionTable.h
@@ -49,9 +49,16 @@
 
   std::size_t Outstanding() const;
 
+  /** Counts a request as answered; the answer may not be written yet. */
+  void MarkAnswered();
+
+  /** Whether a request waits to be answered. */
+  bool HasUnanswered() const;
+
 private:
   mutable std::mutex mMutex;
   std::size_t mOutstanding = 0;
+  std::size_t mUnanswered = 0;
   bool mLastAnswerGiven = false;
   bool mClosed = false;
   Observer mIdleObserver;
--- a/Source/Transport/HttpServer.cxx
+++ b/Source/Transport/HttpServer.cxx
@@ -17,6 +17,7 @@
 #include "Transport/CallerSocket.h"
 #include "Transport/ConnectionTable.h"
 #include "Transport/ContextPool.h"
+#include "Transport/QuietConnections.h"
 #include "Transport/SocketOptions.h"
 
 namespace almondspoke {
@@ -32,6 +33,7 @@
 using detail::ConnectionTable;
 using detail::HeldMemory;
 using detail::LingerCount;
+using detail::QuietConnections;
 using detail::RequestMemory;
 
 /** \brief State that is shared by all parts of one server. */
@@ -42,6 +44,7 @@
                                               aOptions.mOnRefusal))
     , mLimits(std::make_shared<ArrivalLimits>(aOptions.mRequestLimits))
     , mLingering(std::make_shared<LingerCount>(aOptions.mQueues.mClosing))
+    , mQuiet(aOptions.mMaxConnections)
   {
   }
 
@@ -49,6 +52,7 @@
   const std::shared_ptr<ArrivalLimits> mLimits;
   const std::shared_ptr<LingerCount> mLingering;
   ConnectionTable mConnections;
+  QuietConnections mQuiet;
   std::atomic<std::size_t> mOutstanding{ 0 };
   std::atomic<std::size_t> mOpen{ 0 };
   std::atomic<std::uint64_t> mRejected{ 0 };
@@ -160,15 +164,17 @@
     const auto cause = aNotice.cause();
     if (restinio::holds_alternative<accepted_t>(cause)) {
       const auto connection = mState->mConnections.Add(aNotice.connection_id());
-      CallerSocket::SetConnection(
-        connection,
-        std::make_shared<ArrivingRequest>(
-          mState->mMemory, connection, mState->mLimits),
-        mState->mLingering);
+      const auto request = std::make_shared<ArrivingRequest>(
+        mState->mMemory, connection, mState->mLimits);
+      CallerSocket::SetConnection(connection, request, mState->mLingering);
       ++mState->mOpen;
+      const auto now = std::chrono::steady_clock::now();
+      mState->mQuiet.Add(aNotice.connection_id(), request, now);
+      mState->mQuiet.MakePlaces(now);
     } else if (restinio::holds_alternative<closed_t>(cause)) {
       const auto connection =
         mState->mConnections.Remove(aNotice.connection_id());
+      mState->mQuiet.Remove(aNotice.connection_id());
       if (connection) {
         --mState->mOpen;
         mState->mOutstanding -= connection->Close();
@@ -225,6 +231,7 @@
     , mConnection(std::move(aConnection))
     , mRequest(TakeRequest(*aRequest))
     , mIsRead(mRequest.mMethod == "GET" || mRequest.mMethod == "HEAD")
+    , mConnectionId(aRequest->connection_id())
     , mRequestId(aRequest->request_id())
     , mHandle(restinio::impl::access_req_connection(*aRequest))
     , mBuilder(aRequest->create_response())
@@ -249,7 +256,7 @@
     if (mAnswered.exchange(true)) {
       return;
     }
-    mConnection->RemoveObserver(mRequestId);
+    MarkAnswered();
     ChargeAnswer(aResponse);
     const auto held =
       std::make_shared<HeldMemory>(mState->mMemory, aResponse.mBody.size());
@@ -281,7 +288,7 @@
     if (mAnswered.exchange(true)) {
       return;
     }
-    mConnection->RemoveObserver(mRequestId);
+    MarkAnswered();
     // An empty final response makes the HTTP library close the connection.
     mHandle->write_response_parts(
       mRequestId,
@@ -299,6 +306,13 @@
   }
 
 private:
+  void MarkAnswered()
+  {
+    mConnection->RemoveObserver(mRequestId);
+    mConnection->MarkAnswered();
+    mState->mQuiet.EndRequest(mConnectionId, std::chrono::steady_clock::now());
+  }
+
   // The large answer of a read is dropped if there is no memory for it: nothing
   // has run, and many reads may be answered before the first answer is written.
   void ChargeAnswer(HttpResponse& aResponse)
@@ -319,6 +333,7 @@
   std::shared_ptr<ConnectionState> mConnection;
   HttpRequest mRequest;
   const bool mIsRead;
+  const std::uint64_t mConnectionId;
   std::uint64_t mRequestId;
   restinio::impl::connection_handle_t mHandle;
   std::optional<ResponseBuilder> mBuilder;
@@ -397,6 +412,7 @@
         mPort = aAcceptor.local_endpoint().port();
         mListener = aAcceptor.native_handle();
         LimitReceiveBuffers(aAcceptor, mOptions.mQueues.mReceiveBufferBytes);
+        LimitSendBuffers(aAcceptor, mOptions.mQueues.mSendBufferBytes);
       })
       .request_handler([this](const restinio::request_handle_t& aRequest) {
         return Receive(aRequest);
@@ -414,6 +430,7 @@
       return restinio::request_rejected();
     }
     ++mState->mOutstanding;
+    mState->mQuiet.BeginRequest(aRequest->connection_id());
     ArrivingRequest* arriving = ArrivingRequest::Current();
     const std::size_t bytes = RequestMemory::InProgressBytes(
       arriving != nullptr ? arriving->Finish() : 0);
@@ -436,7 +453,9 @@
       if (aError || mIsStopped) {
         return;
       }
-      mState->mMemory->RefuseExpired(std::chrono::steady_clock::now());
+      const auto now = std::chrono::steady_clock::now();
+      mState->mMemory->RefuseExpired(now);
+      mState->mQuiet.MakePlaces(now);
       ScheduleExpiry();
     });
   }
@@ -529,6 +548,12 @@
   return mImplementation->State().mMemory->Counters();
 }
 
+std::uint64_t
+HttpServer::DisplacedConnections() const
+{
+  return mImplementation->State().mQuiet.Displaced();
+}
+
 std::uint64_t
 HttpServer::RejectedRequests() const
 {
--- a/Source/Transport/HttpServer.h
+++ b/Source/Transport/HttpServer.h
@@ -23,8 +23,9 @@
   /** Number of sockets in their lingering close; further ones are closed
    * without, so that the last answer on them may be lost. */
   std::size_t mClosing = 1024;
-  /** Receive buffer of each connection; zero for the system's. */
+  /** Buffers of the kernel for each connection; zero for the system's. */
   std::size_t mReceiveBufferBytes = 0;
+  std::size_t mSendBufferBytes = 0;
 };
 
 /** \brief Listening address and limits of a server. */
@@ -38,7 +39,8 @@
   std::size_t mMaxHeaderBytes = 32768;
   std::size_t mMaxHeaderFields = 100;
   std::size_t mMaxBodyBytes = 16777216;
-  /** Further connections wait in the listen queue. */
+  /** When nearly all are in use, those that have been quiet for the longest
+   * time are closed; further ones wait in the listen queue. */
   std::size_t mMaxConnections = 4096;
   ConnectionQueues mQueues;
   /** Number of requests that one connection may have in progress. */
@@ -100,6 +102,9 @@
 
   RequestMemoryCounters MemoryCounters() const;
 
+  /** Number of quiet connections that were closed to make place for others. */
+  std::uint64_t DisplacedConnections() const;
+
   /** Number of requests that the parser has rejected. */
   std::uint64_t RejectedRequests() const;
 
--- a/Source/Transport/ListenerMetrics.cxx
+++ b/Source/Transport/ListenerMetrics.cxx
@@ -31,6 +31,17 @@
   aFamily.metric.push_back(std::move(metric));
 }
 
+void
+AddCounter(MetricFamily& aFamily,
+           const std::string& aListener,
+           std::uint64_t aCount)
+{
+  ClientMetric metric;
+  metric.label.push_back({ "listener", aListener });
+  metric.counter.value = static_cast<double>(aCount);
+  aFamily.metric.push_back(std::move(metric));
+}
+
 void
 AddRefusals(MetricFamily& aFamily,
             const std::string& aListener,
@@ -67,6 +78,10 @@
   MetricFamily connections = FamilyOf("almondspoke_listener_connections",
                                       "Connections that are open or closing",
                                       MetricType::Gauge);
+  MetricFamily displaced =
+    FamilyOf("almondspoke_listener_connections_displaced_total",
+             "Quiet connections that were closed to make place for others",
+             MetricType::Counter);
   for (const auto& [listener, server] : mServers) {
     const RequestMemoryCounters counters = server->MemoryCounters();
     AddRefusals(
@@ -75,9 +90,10 @@
       refused, listener, RequestLimit::Time, counters.mRefusedForTime);
     AddGauge(bytes, listener, counters.mHeldBytes);
     AddGauge(connections, listener, server->OpenConnections());
+    AddCounter(displaced, listener, server->DisplacedConnections());
   }
   return prometheus::TextSerializer().Serialize(
-    { refused, bytes, connections });
+    { refused, bytes, connections, displaced });
 }
 
 }
--- a/Source/Transport/SocketOptions.cxx
+++ b/Source/Transport/SocketOptions.cxx
@@ -38,14 +38,23 @@
 }
 
 void
-LimitReceiveBuffers(asio::ip::tcp::acceptor& aListener,
-                    std::size_t aReceiveBufferBytes)
+LimitReceiveBuffers(asio::ip::tcp::acceptor& aListener, std::size_t aBytes)
 {
-  if (aReceiveBufferBytes > 0) {
+  if (aBytes > 0) {
     asio::error_code ignored;
-    aListener.set_option(asio::socket_base::receive_buffer_size(
-                           static_cast<int>(aReceiveBufferBytes)),
-                         ignored);
+    aListener.set_option(
+      asio::socket_base::receive_buffer_size(static_cast<int>(aBytes)),
+      ignored);
+  }
+}
+
+void
+LimitSendBuffers(asio::ip::tcp::acceptor& aListener, std::size_t aBytes)
+{
+  if (aBytes > 0) {
+    asio::error_code ignored;
+    aListener.set_option(
+      asio::socket_base::send_buffer_size(static_cast<int>(aBytes)), ignored);
   }
 }
 
--- a/Source/Transport/SocketOptions.h
+++ b/Source/Transport/SocketOptions.h
@@ -18,8 +18,12 @@
  * will accept to about twice the size. Must be called before listen(). Zero
  * leaves the system's limit. */
 void
-LimitReceiveBuffers(asio::ip::tcp::acceptor& aListener,
-                    std::size_t aReceiveBufferBytes);
+LimitReceiveBuffers(asio::ip::tcp::acceptor& aListener, std::size_t aBytes);
+
+/** The same for what it holds unsent, so that answers that nobody reads soon
+ * wait in the process, which knows of them. */
+void
+LimitSendBuffers(asio::ip::tcp::acceptor& aListener, std::size_t aBytes);
 
 /** Length to listen with.
  * \param aQueue zero for the system's limit */
