Controllers: Serves operators with the limits of the other addresses

An instance with /v1 grew without a bound that its machine bears: the operators' address took 64 bodies of 8 MiB, each in a buffer that doubles, and decoded four at a time in up to 30 times their size. Cause: OperatorServer had a server of the HTTP library of its own, without account, timeouts or bounds on values.

OperatorServer now is a handler of HttpServer, with an account of three times the largest body and a receive buffer of 64 KiB. The check of the form of a body (nesting, number of values) moved from platform/Json.h to Base/JsonForm.h; operators' calls, jobs and announcements of /v1 use it too, before they are decoded: /v1 had no such bound. The answers of the operators' address are unchanged, except that the HTTP library's own refusals now state a reason.

--- a/Source/Controllers/OperatorServer.cxx
+++ b/Source/Controllers/OperatorServer.cxx
@@ -9,9 +9,10 @@
 #include <asio/post.hpp>
 #include <asio/thread_pool.hpp>
 #include <glog/logging.h>
-#include <restinio/all.hpp>
 
+#include "Base/JsonForm.h"
 #include "Controllers/OperatorApi.h"
+#include "Transport/HttpServer.h"
 
 namespace almondspoke {
 
@@ -21,18 +22,14 @@
 constexpr const char* kParseError =
   R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,)"
   R"("message":"the request is not valid JSON"}})";
-constexpr std::size_t kMaxTargetBytes = 1024;
 constexpr std::size_t kMaxHeaderFieldBytes = 8192;
 constexpr std::size_t kMaxHeaderFields = 64;
+constexpr std::size_t kReceiveBufferBytes = 65536;
 
-struct ServerTraits : public restinio::default_traits_t
-{
-  // The name is required by the library.
-  // NOLINTNEXTLINE(readability-identifier-naming)
-  static constexpr bool use_connection_count_limiter = true;
-};
+/** Memory of the requests, as a multiple of the largest body. */
+constexpr std::size_t kBodiesInMemory = 3;
 
-using Server = restinio::http_server_t<ServerTraits>;
+constexpr int kOk = 200;
 
 /** \brief Passes request texts to the JSON-RPC library. */
 class OperatorConnector : public jsonrpc::AbstractServerConnector
@@ -44,6 +41,12 @@
 
   std::string Process(const std::string& aRequest)
   {
+    const Result<void> form = CheckJsonForm(aRequest);
+    if (!form) {
+      LOG_EVERY_T(WARNING, 1)
+        << "operator request rejected: " << form.error().Message();
+      return kParseError;
+    }
     std::string response;
     try {
       GetHandler()->HandleRequest(aRequest, response);
@@ -55,30 +58,9 @@
   }
 };
 
-restinio::request_handling_status_t
-Respond(const restinio::request_handle_t& aRequest,
-        restinio::http_status_line_t aStatus,
-        std::string aBody)
-{
-  return aRequest->create_response(std::move(aStatus))
-    .append_header(restinio::http_field::content_type, "application/json")
-    .set_body(std::move(aBody))
-    .done();
-}
-
-restinio::request_handling_status_t
-Refuse(const restinio::request_handle_t& aRequest,
-       restinio::http_status_line_t aStatus,
-       ErrorKind aKind,
-       std::string aMessage)
-{
-  return Respond(
-    aRequest, std::move(aStatus), Error(aKind, std::move(aMessage)).ToJson());
-}
-
 }
 
-class OperatorServer::Implementation
+class OperatorServer::Implementation : private HttpHandler
 {
 public:
   Implementation(OperatorServerOptions aOptions,
@@ -90,23 +72,16 @@
     : mOptions(std::move(aOptions))
     , mApi(mConnector, aRules, aVoters, aInstances, aEndpoints, aDecisions)
     , mWorkers(mOptions.mThreads)
+    , mServer(mContext, ServerOptions(), *this)
   {
   }
 
   Result<void> Start()
   {
-    // The acceptor is opened before any thread runs, because the library's own
-    // runner has a race between its start and reporting an address in use.
-    try {
-      mServer = std::make_unique<Server>(
-        restinio::external_io_context(mContext), Settings());
-      mServer->open_sync();
-    } catch (const std::exception& error) {
-      mServer.reset();
+    const Result<void> opened = mServer.Open();
+    if (!opened) {
       return Error(ErrorKind::InvalidSettings,
-                   "cannot listen on the operators' address " +
-                     mOptions.mAddress + ":" + std::to_string(mOptions.mPort) +
-                     ": " + error.what() +
+                   "the operators' address: " + opened.error().Message() +
                      " (allowed: an IP address of this machine and a free "
                      "port)");
     }
@@ -121,7 +96,7 @@
     }
     std::promise<void> closed;
     asio::post(mContext, [this, &closed] {
-      mServer->close_sync();
+      mServer.CloseListener();
       closed.set_value();
     });
     closed.get_future().wait();
@@ -130,52 +105,45 @@
     mThread.join();
   }
 
-  std::uint16_t Port() const { return mPort; }
+  std::uint16_t Port() const { return mServer.Port(); }
 
 private:
-  restinio::server_settings_t<ServerTraits> Settings()
+  HttpServerOptions ServerOptions() const
   {
-    restinio::server_settings_t<ServerTraits> settings;
-    settings.address(mOptions.mAddress)
-      .port(mOptions.mPort)
-      .max_parallel_connections(mOptions.mMaxConnections)
-      .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
-                                  .max_url_size(kMaxTargetBytes)
-                                  .max_field_name_size(kMaxHeaderFieldBytes)
-                                  .max_field_value_size(kMaxHeaderFieldBytes)
-                                  .max_field_count(kMaxHeaderFields)
-                                  .max_body_size(mOptions.mMaxBodyBytes))
-      .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& aAcceptor) {
-        mPort = aAcceptor.local_endpoint().port();
-      })
-      .request_handler([this](const restinio::request_handle_t& aRequest) {
-        return Handle(aRequest);
-      });
-    return settings;
+    HttpServerOptions options;
+    options.mAddress = mOptions.mAddress;
+    options.mPort = mOptions.mPort;
+    options.mMaxHeaderBytes = kMaxHeaderFieldBytes;
+    options.mMaxHeaderFields = kMaxHeaderFields;
+    options.mMaxBodyBytes = mOptions.mMaxBodyBytes;
+    options.mMaxConnections = mOptions.mMaxConnections;
+    options.mQueues.mListening = mOptions.mMaxConnections;
+    options.mQueues.mClosing = mOptions.mMaxConnections;
+    options.mQueues.mReceiveBufferBytes = kReceiveBufferBytes;
+    options.mMaxUnfinishedBytes = kBodiesInMemory * mOptions.mMaxBodyBytes;
+    return options;
   }
 
-  restinio::request_handling_status_t Handle(
-    const restinio::request_handle_t& aRequest)
+  void Handle(HttpExchangePtr aExchange) override
   {
-    const auto path = aRequest->header().path();
+    const HttpRequest& request = aExchange->Request();
+    const std::string_view path = PathOf(request.mTarget);
     if (path != kPath) {
-      return Refuse(aRequest,
-                    restinio::status_not_found(),
-                    ErrorKind::NotFound,
-                    "unknown path '" + std::string(path) + "' (allowed: /rpc)");
+      aExchange->Respond(ErrorResponse(
+        Error(ErrorKind::NotFound,
+              "unknown path '" + std::string(path) + "' (allowed: /rpc)")));
+      return;
     }
-    if (aRequest->header().method() != restinio::http_method_post()) {
-      return Refuse(aRequest,
-                    restinio::status_method_not_allowed(),
-                    ErrorKind::MethodNotAllowed,
-                    "method not allowed (allowed: POST)");
+    if (request.mMethod != "POST") {
+      aExchange->Respond(ErrorResponse(Error(
+        ErrorKind::MethodNotAllowed, "method not allowed (allowed: POST)")));
+      return;
     }
     // Methods may block, so they do not run on the connection thread.
-    asio::post(mWorkers, [this, aRequest] {
-      Respond(
-        aRequest, restinio::status_ok(), mConnector.Process(aRequest->body()));
+    asio::post(mWorkers, [this, exchange = std::move(aExchange)] {
+      exchange->Respond(
+        JsonResponse(kOk, mConnector.Process(exchange->Request().mBody)));
     });
-    return restinio::request_accepted();
   }
 
   OperatorServerOptions mOptions;
@@ -183,9 +151,8 @@
   OperatorApi mApi;
   asio::thread_pool mWorkers;
   asio::io_context mContext;
-  std::unique_ptr<Server> mServer;
+  HttpServer mServer;
   std::thread mThread;
-  std::uint16_t mPort = 0;
 };
 
 OperatorServer::OperatorServer(OperatorServerOptions aOptions,
--- a/Source/Daemon/EndpointApi.cxx
+++ b/Source/Daemon/EndpointApi.cxx
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Base/JsonForm.h"
 #include "Daemon/SettingValues.h"
 #include "Filters/RequestFields.h"
 
@@ -31,7 +32,8 @@
 {
 public:
   explicit JsonObjectReader(const std::string& aBody)
-    : mObject(Json::parse(aBody, nullptr, false))
+    : mObject(CheckJsonForm(aBody) ? Json::parse(aBody, nullptr, false)
+                                   : Json(Json::value_t::discarded))
   {
   }
 
--- a/Source/Jobs/JobRequest.cxx
+++ b/Source/Jobs/JobRequest.cxx
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Base/JsonForm.h"
 #include "Jobs/Base64.h"
 
 namespace almondspoke {
@@ -200,6 +201,7 @@
 Result<JobRequest>
 ParseJobRequest(const std::string& aBody)
 {
+  BOOST_OUTCOME_TRYV(CheckJsonForm(aBody));
   const Json body = Json::parse(aBody, nullptr, false);
   if (body.is_discarded()) {
     return Error(ErrorKind::MalformedRequest, "the body is not valid JSON");
--- a/Tests/Jobs/JobRequestTest.cxx
+++ b/Tests/Jobs/JobRequestTest.cxx
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "Base/JsonForm.h"
 #include "Jobs/Base64.h"
 #include "Jobs/JobsHandler.h"
 #include "JobsFixture.h"
@@ -114,6 +115,18 @@
   CHECK(job.error().Message().find("580") != std::string::npos);
 }
 
+// Guards against bodies whose decoded form takes many times their memory.
+TEST_CASE("Job request: a body of very many values is refused")
+{
+  std::string body = R"({"tasks":[0)";
+  for (std::size_t i = 0; i < kMaxJsonValues; ++i) {
+    body += ",0";
+  }
+  const Result<JobRequest> job = ParseJobRequest(body + "]}");
+  REQUIRE_FALSE(job);
+  CHECK(job.error().Kind() == ErrorKind::MalformedRequest);
+}
+
 TEST_CASE("Base64: decoding returns the encoded bytes")
 {
   std::string bytes;
--- a/Tests/Platform/CodecTest.cxx
+++ b/Tests/Platform/CodecTest.cxx
@@ -107,7 +107,7 @@
   std::string body = R"({"spec":"x","steps":[{})";
   SECTION("values")
   {
-    for (std::size_t i = 0; i < platform::kMaxValues; ++i) {
+    for (std::size_t i = 0; i < kMaxJsonValues; ++i) {
       body += ",{}";
     }
     const auto job = platform::DecodeJob(body + "]}");
