Daemon: Derives limits from the machine where the settings state none

A process without memory-mb, and an instance with /v1 and default settings, grew until the system refused memory: the default bounded nothing, and that of [limits] unfinished-requests was 64 GiB.

MachineLimits reads what the system gives the process: the memory of the machine, its control group and its resource limits, whichever is least. A node of a dispatch installation takes half of it, and its descriptors. An instance with /v1 takes a quarter for requests and an eighth for connections, each with a receive buffer of 32 KiB, a bounded listen queue and bounded closing sockets; bodies in progress take at most a quarter.

--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -10,6 +10,7 @@
 
 #include <glog/logging.h>
 
+#include "Base/MachineLimits.h"
 #include "Daemon/MakeRoutingRules.h"
 #include "Daemon/SubmissionSettings.h"
 
@@ -58,6 +59,37 @@
   return std::min<std::size_t>(aConfiguredLimit, usable);
 }
 
+/** Parts of the memory of the machine for requests and for connections. */
+constexpr std::size_t kRequestShare = 4;
+constexpr std::size_t kConnectionShare = 8;
+
+/** Receive buffer of a connection, of which the kernel may hold twice as much,
+ * and what a connection takes with it. */
+constexpr std::size_t kReceiveBufferBytes = 32768;
+constexpr std::size_t kConnectionBytes = 12288 + 2 * kReceiveBufferBytes;
+
+constexpr std::size_t kListenQueueShare = 4;
+constexpr std::size_t kClosingShare = 8;
+
+void
+LimitConnections(HttpServerOptions& aOptions, std::size_t aMaxConnections)
+{
+  const std::size_t places =
+    ReadMachineLimits().mMemoryBytes / kConnectionShare / kConnectionBytes;
+  aOptions.mMaxConnections = std::min(ConnectionLimit(aMaxConnections),
+                                      std::max<std::size_t>(places, 8));
+  aOptions.mQueues.mListening =
+    std::max<std::size_t>(aOptions.mMaxConnections / kListenQueueShare, 8);
+  aOptions.mQueues.mClosing = aOptions.mMaxConnections / kClosingShare;
+  aOptions.mQueues.mReceiveBufferBytes = kReceiveBufferBytes;
+}
+
+std::size_t
+MemoryForRequests()
+{
+  return ReadMachineLimits().mMemoryBytes / kRequestShare;
+}
+
 // At most one line a second, whatever the number of refusals.
 void
 LogRefusal(const RequestRefusal& aRefusal)
@@ -76,12 +108,14 @@
   options.mPort = aSettings.mCallers.mPort;
   options.mMaxHeaderBytes = aSettings.mMaxHeaderBytes;
   options.mMaxBodyBytes = aSettings.mMaxBodyBytes;
-  options.mMaxConnections = ConnectionLimit(aSettings.mMaxConnections);
+  LimitConnections(options, aSettings.mMaxConnections);
   options.mMaxPipelinedRequests = aSettings.mMaxPipelinedRequests;
   options.mIdleTimeout = aSettings.mIdleTimeout;
   options.mRequestLimits.mHeaderTimeout = aSettings.mIdleTimeout;
   options.mRequestLimits.mRequestTimeout = aSettings.mIdleTimeout;
-  options.mMaxUnfinishedBytes = aSettings.mMaxUnfinishedBytes;
+  options.mMaxUnfinishedBytes = aSettings.mMaxUnfinishedBytes > 0
+                                  ? aSettings.mMaxUnfinishedBytes
+                                  : MemoryForRequests();
   options.mOnRefusal = LogRefusal;
   return options;
 }
@@ -155,19 +189,20 @@
                    mCluster.RulesOfRequests(),
                    mSlots })
   , mSpillReports(MakeSpillReportsDependencies())
-  , mRequestPath(
-      mIdentity,
-      RequestPathDependencies{ mContexts.Main(),
-                               mClock,
-                               mDecisions,
-                               mMetrics,
-                               mClient,
-                               mCluster.RulesOfRequests(),
-                               mSubmissions.Claims(),
-                               mScheduler,
-                               mSpillReports,
-                               mSpillCounters },
-      RequestPathOptions{ aSettings.mRequestTimeout, aSettings.mMaxHeldBytes })
+  , mRequestPath(mIdentity,
+                 RequestPathDependencies{ mContexts.Main(),
+                                          mClock,
+                                          mDecisions,
+                                          mMetrics,
+                                          mClient,
+                                          mCluster.RulesOfRequests(),
+                                          mSubmissions.Claims(),
+                                          mScheduler,
+                                          mSpillReports,
+                                          mSpillCounters },
+                 RequestPathOptions{
+                   aSettings.mRequestTimeout,
+                   std::min(aSettings.mMaxHeldBytes, MemoryForRequests()) })
   , mEndpointApi(mCluster.Endpoints(), aSettings.mAllowedNetworks)
   , mCallerApi(mReadiness, mMetrics)
   , mServer(mContexts.Listener(), ServerOptionsOf(aSettings), mCallerApi)
--- a/Source/Daemon/Settings.h
+++ b/Source/Daemon/Settings.h
@@ -86,11 +86,13 @@
   std::size_t mMaxConnections = 4096;
   std::size_t mMaxPipelinedRequests = 16;
   std::size_t mMaxQueuedRequests = 10000;
-  /** Total size of the request bodies in memory. */
+  /** Total size of the request bodies in memory; at most a quarter of the
+   * memory of the machine. */
   std::size_t mMaxHeldBytes = 536870912;
   /** Total memory of the requests that have not arrived completely, and of
-   * those and their answers that are in progress. */
-  std::size_t mMaxUnfinishedBytes = 68719476736;
+   * those and their answers that are in progress; zero for a quarter of the
+   * memory of the machine. */
+  std::size_t mMaxUnfinishedBytes = 0;
   std::size_t mMaxDecisions = 10000;
   std::chrono::milliseconds mIdleTimeout{ 60000 };
   std::chrono::milliseconds mRequestTimeout{ 30000 };
--- a/Source/Dispatch/ClientLimits.cxx
+++ b/Source/Dispatch/ClientLimits.cxx
@@ -1,6 +1,8 @@
 #include "Dispatch/ClientLimits.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 
 #include <malloc.h>
 
@@ -27,6 +29,9 @@
 constexpr std::size_t kFrameParts = 2;
 constexpr std::size_t kQueueParts = 2;
 
+/** Part of the memory of a machine for a process whose settings state none. */
+constexpr std::size_t kMachineShare = 2;
+
 /** Least memory for requests: twice the largest body of a report or manifest,
  * so that one is served also beside the reserve for small requests. */
 constexpr std::size_t kMinRequestBytes = 8 * kMebibyte;
@@ -166,6 +171,21 @@
 
 }
 
+NodeSettings
+WithMachineLimits(NodeSettings aSettings, const MachineLimits& aMachine)
+{
+  constexpr std::size_t kMost = std::numeric_limits<std::uint32_t>::max();
+  if (aSettings.mMemoryMegabytes == 0) {
+    aSettings.mMemoryMegabytes = static_cast<std::uint32_t>(
+      std::min(aMachine.mMemoryBytes / kMachineShare / kMebibyte, kMost));
+  }
+  if (aSettings.mMaxDescriptors == 0) {
+    aSettings.mMaxDescriptors =
+      static_cast<std::uint32_t>(std::min(aMachine.mDescriptors, kMost));
+  }
+  return aSettings;
+}
+
 ClientLimits
 ClientLimitsOf(const NodeSettings& aSettings)
 {
--- a/Source/Dispatch/ClientLimits.h
+++ b/Source/Dispatch/ClientLimits.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <limits>
 
+#include "Base/MachineLimits.h"
 #include "Dispatch/NodeSettings.h"
 #include "Transport/HttpServer.h"
 #include "Transport/PeerLink.h"
@@ -35,8 +36,13 @@
   PeerLimits mPeers;
 };
 
+/** Returns the settings with what they do not state: half of the memory of the
+ * machine, since other processes may run on it, and its descriptors. */
+NodeSettings
+WithMachineLimits(NodeSettings aSettings, const MachineLimits& aMachine);
+
 /** Derives the limits from the memory and the descriptors that the process may
- * use. What is not set limits nothing. */
+ * use, which WithMachineLimits() has set. */
 ClientLimits
 ClientLimitsOf(const NodeSettings& aSettings);
 
--- a/Tests/Platform/ClientLimitsTest.cxx
+++ b/Tests/Platform/ClientLimitsTest.cxx
@@ -96,3 +96,20 @@
           row.mMemoryMegabytes * kMebibyte);
   }
 }
+
+// Guards against settings without limits that leave the process without them.
+TEST_CASE("Client limits: without settings the machine's limits apply")
+{
+  constexpr std::size_t kMachineMegabytes = 1024;
+  const almondspoke::MachineLimits machine{ kMachineMegabytes * kMebibyte,
+                                            4096 };
+  const NodeSettings unset = WithMachineLimits({}, machine);
+  CHECK(unset.mMemoryMegabytes == kMachineMegabytes / 2);
+  CHECK(unset.mMaxDescriptors == 4096);
+  NodeSettings settings;
+  settings.mMemoryMegabytes = 120;
+  settings.mMaxDescriptors = 3075;
+  const NodeSettings set = WithMachineLimits(settings, machine);
+  CHECK(set.mMemoryMegabytes == 120);
+  CHECK(set.mMaxDescriptors == 3075);
+}
