Transport: Lets links to made-up names give way

An instance to which frames of senders with made-up names had come could no longer open a link to an instance that exists: callers behind it would get no answer from a new leader. Cause: answers to such senders open a link to each name, 512 links are the limit, and links are never removed. Found by reading while looking for what frames of nobody cost.

Evidence: the new case of test_peers, with 600 names, fails without the change (not connected for 60 s).

When all places are taken, a link that is not connected is removed; one to an instance that is away is opened again on its next use. test_peers passes.

--- a/Source/Transport/AsioPeerTransport.cxx
+++ b/Source/Transport/AsioPeerTransport.cxx
@@ -1,5 +1,6 @@
 #include "Transport/AsioPeerTransport.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <asio/post.hpp>
@@ -88,11 +89,11 @@
   if (link != mLinks.end()) {
     return link->second;
   }
-  if (!mResolver || mLinks.size() >= kMaxLinks) {
+  if (!mResolver) {
     return nullptr;
   }
   const auto address = mResolver(aName);
-  if (!address) {
+  if (!address || (mLinks.size() >= kMaxLinks && !RemoveLostLink())) {
     return nullptr;
   }
   auto opened = MakeLink({ aName, *address });
@@ -101,6 +102,23 @@
   return opened;
 }
 
+// Links to made-up names are never connected. One to an instance that is away
+// is opened again on its next use.
+bool
+AsioPeerTransport::RemoveLostLink() const
+{
+  const auto lost =
+    std::find_if(mLinks.begin(), mLinks.end(), [](const auto& aLink) {
+      return !aLink.second->IsConnected();
+    });
+  if (lost == mLinks.end()) {
+    return false;
+  }
+  lost->second->Stop();
+  mLinks.erase(lost);
+  return true;
+}
+
 Result<void>
 AsioPeerTransport::Listen()
 {
--- a/Source/Transport/AsioPeerTransport.h
+++ b/Source/Transport/AsioPeerTransport.h
@@ -89,6 +89,8 @@
   /** Returns the link to an instance, which is created if the resolver knows
    * the instance; null otherwise. */
   std::shared_ptr<PeerLink> LinkTo(const InstanceName& aName) const;
+  /** Removes a link without a connection. Returns false if there is none. */
+  bool RemoveLostLink() const;
   std::shared_ptr<PeerLink> ExistingLink(const InstanceName& aName) const;
   void AcceptSession(asio::ip::tcp::socket aSocket);
 
--- a/Tests/Transport/PeerTransportTest.cxx
+++ b/Tests/Transport/PeerTransportTest.cxx
@@ -488,3 +488,32 @@
   context.stop();
   thread.join();
 }
+
+// Guards against senders of made-up names that leave no place for the link to
+// an instance that exists.
+TEST_CASE("PeerTransport: links to made-up names give way to others")
+{
+  constexpr int kNames = 600;
+  const std::uint16_t portA = FreePort();
+  const std::uint16_t portB = FreePort();
+  asio::io_context context;
+  AsioPeerTransport first(context, { "a", "zagreb", 1 }, Loopback(portA), {});
+  AsioPeerTransport second(context, { "b", "zagreb", 1 }, Loopback(portB), {});
+  for (AsioPeerTransport* transport : { &first, &second }) {
+    transport->AllowUnlistedPeers([portB](const InstanceName& aName) {
+      return std::optional(Loopback(aName == "b" ? portB : 1));
+    });
+    REQUIRE(transport->Listen().has_value());
+    transport->Start();
+  }
+  std::thread thread([&] { context.run(); });
+  for (int i = 0; i < kNames; ++i) {
+    first.Send("made-up-" + std::to_string(i),
+               { PeerChannel::Membership, 0, "hello" });
+  }
+  CHECK(Eventually([&] { return first.IsConnected("b"); }));
+  first.Stop();
+  second.Stop();
+  context.stop();
+  thread.join();
+}
