--- a/Tests/Processes/CrowdMemoryTest.cxx
+++ b/Tests/Processes/CrowdMemoryTest.cxx
@@ -8,10 +8,10 @@
 
 #include <catch2/catch.hpp>
 
+#include "Processes/CrowdChecks.h"
 #include "Processes/DispatchProcesses.h"
 #include "Processes/Installation.h"
 #include "Processes/SocketCrowd.h"
-#include "Transport/PeerFrameCodec.h"
 
 using namespace almondspoke;
 using namespace almondspoke::testing;
@@ -36,46 +36,6 @@
                                          0 };
 constexpr int kMoreThanAllConnections = 300;
 
-std::string
-Repeated(const std::string& aText, std::size_t aTimes)
-{
-  std::string text;
-  text.reserve(aText.size() * aTimes);
-  for (std::size_t i = 0; i < aTimes; ++i) {
-    text += aText;
-  }
-  return text;
-}
-
-std::string
-PostStart(const std::string& aTarget)
-{
-  return "POST " + aTarget + " HTTP/1.1\r\nHost: h.example\r\n";
-}
-
-std::string
-UnfinishedPost(const std::string& aTarget, std::size_t aBodyBytes)
-{
-  return PostStart(aTarget) + "Transfer-Encoding: chunked\r\n\r\n" +
-         ChunkedBody(aBodyBytes - 1, aBodyBytes);
-}
-
-/** A frame that is announced with the largest length and not completed. */
-std::string
-UnfinishedFrame(std::size_t aBytes)
-{
-  return std::string("\x04\x00\x00\x00", 4) + std::string(aBytes, 'x');
-}
-
-std::string
-HelloOf(const std::string& aName)
-{
-  PeerHello hello;
-  hello.mIdentity = { aName, "zagreb", 1 };
-  hello.mAcceptsAnswers = true;
-  return EncodePeerHello(hello);
-}
-
 std::string
 LargeJobs(int aCount)
 {
@@ -94,36 +54,6 @@
   return jobs;
 }
 
-constexpr std::size_t
-BytesOf(std::size_t aMegabytes)
-{
-  return aMegabytes * kMebibyte;
-}
-
-std::vector<LoopbackAddress>
-GatewayAddresses(const DispatchProcesses& aProcesses)
-{
-  return { { aProcesses.CallersPort() },
-           { aProcesses.ReadinessPort() },
-           { aProcesses.GatewayMetricsPort() },
-           { aProcesses.PeerPort(), kSecondLoopback } };
-}
-
-std::vector<LoopbackAddress>
-CoordinatorAddresses(const DispatchProcesses& aProcesses)
-{
-  return { { aProcesses.ControlPort() },
-           { aProcesses.CoordinatorMetricsPort() },
-           { aProcesses.PeerPort() } };
-}
-
-void
-CheckHeld(ChildProcess& aProcess, const HeldPeak& aPeak, std::size_t aMegabytes)
-{
-  REQUIRE(aProcess.IsRunning());
-  CHECK(aPeak.Bytes() <= BytesOf(aMegabytes));
-}
-
 /** Whether an ordinary request is answered while a crowd keeps its connections
  * open. The tries end before connections that are idle are closed. */
 template<typename Request>
@@ -143,6 +73,23 @@
 
 constexpr std::chrono::seconds kTryTimeout{ 3 };
 
+/** Takes all connections of an address without sending anything. */
+void
+CheckAnsweredBesideSilence(const DispatchProcesses& aProcesses,
+                           std::uint16_t aPort,
+                           const std::string& aTarget,
+                           ChildProcess& aProcess)
+{
+  REQUIRE(aProcesses.IsReady());
+  SocketCrowd crowd({ aPort }, kMoreThanAllConnections, "");
+  const std::string address = "127.0.0.1:" + std::to_string(aPort);
+  CHECK(IsAnsweredBeside(crowd, [&] {
+    return DispatchProcesses::GetAnew(address, aTarget, kTryTimeout) == 200;
+  }));
+  CHECK(OpenDescriptors(aProcess.Id()) <= kFewDescriptors);
+  CHECK(aProcess.IsRunning());
+}
+
 /** Sends jobs without reading their answers, and after that bodies that are
  * never completed. */
 void
@@ -168,19 +115,6 @@
   CheckHeld(aProcesses.Gateway(), gateway, aMegabytes);
 }
 
-/** Sends for a limited time: some crowds are served without end. */
-void
-SendFor(SocketCrowd& aCrowd, HeldPeak& aPeak)
-{
-  constexpr int kRounds = 60;
-  constexpr std::chrono::milliseconds kRound{ 25 };
-  for (int i = 0; i < kRounds; ++i) {
-    aCrowd.Send();
-    aPeak.Sample();
-    std::this_thread::sleep_for(kRound);
-  }
-}
-
 /** Sends to the addresses of a process that does not run at that time. */
 void
 SendToFrozen(ChildProcess& aProcess,
@@ -312,40 +246,22 @@
 TEST_CASE("Crowds: silent connections take all places of the callers")
 {
   DispatchProcesses processes(kFewConnections);
-  REQUIRE(processes.IsReady());
-  SocketCrowd crowd({ processes.CallersPort() }, kMoreThanAllConnections, "");
-  CHECK(IsAnsweredBeside(crowd, [&] {
-    return DispatchProcesses::GetAnew(
-             processes.Callers(), "/p/", kTryTimeout) == 200;
-  }));
-  CHECK(OpenDescriptors(processes.Gateway().Id()) <= kFewDescriptors);
-  CHECK(processes.Gateway().IsRunning());
+  CheckAnsweredBesideSilence(
+    processes, processes.CallersPort(), "/p/", processes.Gateway());
 }
 
 TEST_CASE("Crowds: silent connections take all places of the workers")
 {
   DispatchProcesses processes(kFewConnections);
-  REQUIRE(processes.IsReady());
-  SocketCrowd crowd({ processes.ControlPort() }, kMoreThanAllConnections, "");
-  CHECK(IsAnsweredBeside(crowd, [&] {
-    return DispatchProcesses::GetAnew(
-             processes.Control(), "/config/get", kTryTimeout) == 200;
-  }));
-  CHECK(OpenDescriptors(processes.Coordinator().Id()) <= kFewDescriptors);
-  CHECK(processes.Coordinator().IsRunning());
+  CheckAnsweredBesideSilence(
+    processes, processes.ControlPort(), "/config/get", processes.Coordinator());
 }
 
 TEST_CASE("Crowds: silent connections take all places of the probes")
 {
   DispatchProcesses processes(kFewConnections);
-  REQUIRE(processes.IsReady());
-  SocketCrowd crowd({ processes.ReadinessPort() }, kMoreThanAllConnections, "");
-  CHECK(IsAnsweredBeside(crowd, [&] {
-    return DispatchProcesses::GetAnew(
-             processes.Readiness(), "/", kTryTimeout) == 200;
-  }));
-  CHECK(OpenDescriptors(processes.Gateway().Id()) <= kFewDescriptors);
-  CHECK(processes.Gateway().IsRunning());
+  CheckAnsweredBesideSilence(
+    processes, processes.ReadinessPort(), "/", processes.Gateway());
 }
 
 TEST_CASE("Crowds: requests without end whose answers nobody reads")
@@ -528,134 +444,3 @@
   CHECK(gateway.Bytes() <= BytesOf(kGatewayMegabytes));
   CHECK(coordinator.Bytes() <= BytesOf(kCoordinatorMegabytes));
 }
-
-namespace {
-
-/** \brief What each connection of a crowd sends in the long run. */
-struct Shape
-{
-  std::string mName;
-  std::string mBytes;
-};
-
-std::vector<Shape>
-HttpShapes(const std::string& aTarget, std::size_t aBodyBytes)
-{
-  constexpr std::size_t kLong = 2 * kMebibyte;
-  const std::string start = PostStart(aTarget);
-  const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n";
-  const auto complete = [&start](const std::string& aBody) {
-    return start + "Content-Length: " + std::to_string(aBody.size()) +
-           "\r\n\r\n" + aBody;
-  };
-  const std::string values = "[" + Repeated("{},", aBodyBytes / 3 - 1) + "{}]";
-  return {
-    { "one chunk that stops short", UnfinishedPost(aTarget, aBodyBytes) },
-    { "chunks of one byte", chunked + Repeated("1\r\nx\r\n", aBodyBytes - 1) },
-    { "an announced body that stops short",
-      start + "Content-Length: " + std::to_string(aBodyBytes) + "\r\n\r\n" +
-        std::string(aBodyBytes - 1, 'x') },
-    { "blank lines", Repeated("\r\n", kLong / 2) },
-    { "header fields", start + Repeated("X-A: b\r\n", kLong / 8) },
-    { "a target", "GET /" + std::string(kLong, 'a') },
-    { "a chunk extension", chunked + "1;" + std::string(kLong, 'e') },
-    { "trailers", chunked + "0\r\n" + Repeated("X-A: b\r\n", kLong / 8) },
-    { "nested lists", Repeated(complete(std::string(aBodyBytes / 2, '[')), 4) },
-    { "very many values", Repeated(complete(values), 4) },
-    { "requests without a body",
-      Repeated("GET " + aTarget + " HTTP/1.1\r\nHost: h.example\r\n\r\n",
-               20000) },
-    { "small bodies",
-      Repeated(complete(R"({"spec":"x","steps":[{"count":1,"cpu":500}]})"),
-               5000) },
-    { "waiting best-effort jobs",
-      Repeated(
-        complete(
-          R"({"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":500}]})"),
-        200) },
-    { "no request", std::string(kLong, '\x01') },
-  };
-}
-
-std::vector<Shape>
-PeerShapes()
-{
-  constexpr std::size_t kLong = 2 * kMebibyte;
-  const std::string hello = HelloOf("127.0.0.9:9");
-  const auto frames = [](PeerChannel aChannel, const std::string& aPayload) {
-    return Repeated(EncodePeerFrame({ aChannel, 0, aPayload }), 2000);
-  };
-  return {
-    { "an unfinished frame", UnfinishedFrame(kLong) },
-    { "an unfinished frame after a hello", hello + UnfinishedFrame(kLong) },
-    { "empty frames", hello + std::string(kLong, '\0') },
-    { "frames of calls that are none", hello + frames(PeerChannel::Rpc, "x") },
-    { "frames of consensus that are none",
-      hello + frames(PeerChannel::Consensus, std::string(1000, 'x')) },
-    { "frames to no component",
-      hello + frames(PeerChannel::Endpoints, std::string(1000, 'x')) },
-  };
-}
-
-}
-
-// The long run, started by hand: each shape at each address, at the size of the
-// smallest machines, with all connections and more.
-TEST_CASE("Crowds: all shapes at all addresses of the smallest machines",
-          "[.long]")
-{
-  constexpr ProcessLimits kSmallestMachines{ 120, 256, 3075, 0 };
-  constexpr std::size_t kBodyBytes = 262144;
-  constexpr int kConnections = 1500;
-  DispatchProcesses processes(kSmallestMachines);
-  REQUIRE(processes.IsReady());
-  HeldPeak gateway(processes.Gateway().Id(), GatewayAddresses(processes));
-  HeldPeak coordinator(processes.Coordinator().Id(),
-                       CoordinatorAddresses(processes));
-  const auto play = [&](const std::string& aWhere,
-                        LoopbackAddress aAddress,
-                        const std::vector<Shape>& aShapes,
-                        HeldPeak& aPeak) {
-    for (const Shape& shape : aShapes) {
-      {
-        SocketCrowd crowd(aAddress, kConnections, shape.mBytes);
-        SendFor(crowd, aPeak);
-        CHECK(processes.AnswersOrdinaryRequests());
-      }
-      WARN(aWhere << ", " << shape.mName << ": gateway "
-                  << gateway.Bytes() / kMebibyte << " MiB, coordinator "
-                  << coordinator.Bytes() / kMebibyte << " MiB at most");
-      CheckHeld(
-        processes.Gateway(), gateway, kSmallestMachines.mGatewayMegabytes);
-      CheckHeld(processes.Coordinator(),
-                coordinator,
-                kSmallestMachines.mCoordinatorMegabytes);
-    }
-  };
-  play("callers",
-       { processes.CallersPort() },
-       HttpShapes("/p/j", kBodyBytes),
-       gateway);
-  play("readiness",
-       { processes.ReadinessPort() },
-       HttpShapes("/", kBodyBytes),
-       gateway);
-  play("gateway's metrics",
-       { processes.GatewayMetricsPort() },
-       HttpShapes("/metrics", kBodyBytes),
-       gateway);
-  play("control",
-       { processes.ControlPort() },
-       HttpShapes("/instances/x/heartbeat", kBodyBytes),
-       coordinator);
-  play("coordinator's metrics",
-       { processes.CoordinatorMetricsPort() },
-       HttpShapes("/metrics", kBodyBytes),
-       coordinator);
-  play("gateway's peers",
-       { processes.PeerPort(), kSecondLoopback },
-       PeerShapes(),
-       gateway);
-  play(
-    "coordinator's peers", { processes.PeerPort() }, PeerShapes(), coordinator);
-}
