--- a/Tests/Processes/SocketCrowd.h
+++ b/Tests/Processes/SocketCrowd.h
@@ -182,9 +182,9 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(mAddress.mPort);
     address.sin_addr.s_addr = htonl(mAddress.mIp);
-    ::connect(aConnection.mSocket,
-              reinterpret_cast<const sockaddr*>(&address),
-              sizeof address);
+    static_cast<void>(::connect(aConnection.mSocket,
+                                reinterpret_cast<const sockaddr*>(&address),
+                                sizeof address));
   }
 
   const LoopbackAddress mAddress;
