Transport: Keeps a connection whose request was read while it is closed

A caller whose request arrived in the moment in which its quiet connection was to be closed could lose it: the read that brought the request was turned into an error, and the flag outlived the request, so that the next one was lost. Cause: ArrivingRequest knew only whether a request waits to be answered, not that one had begun since.

A complete request now ends the displacement, a read with bytes is always handed on, and only a cancelled read or write closes the connection; after a read that ended no request the close continues.

--- a/Source/Transport/ArrivingRequest.cxx
+++ b/Source/Transport/ArrivingRequest.cxx
@@ -71,6 +71,7 @@
 ArrivingRequest::Finish()
 {
   mHasBegun = false;
+  mIsDisplaced = false;
   if (std::exchange(mIsCharged, false)) {
     mMemory->Remove(*this);
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -156,19 +157,26 @@
 void
 ArrivingRequest::Displace()
 {
-  const std::lock_guard<std::mutex> lock(mMutex);
-  if (mIsDetached || !mPost) {
+  mIsDisplaced = true;
+  ContinueDisplacement();
+}
+
+void
+ArrivingRequest::ContinueDisplacement()
+{
+  if (!mIsDisplaced) {
     return;
   }
-  mIsDisplaced = true;
-  PostCancel(&ArrivingRequest::MayBeDisplaced);
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (!mIsDetached && mPost) {
+    PostCancel(&ArrivingRequest::MayBeDisplaced);
+  }
 }
 
 bool
 ArrivingRequest::TakeDisplacement()
 {
-  const std::lock_guard<std::mutex> lock(mMutex);
-  return std::exchange(mIsDisplaced, false) && !mConnection->HasUnanswered();
+  return mIsDisplaced.exchange(false) && !mConnection->HasUnanswered();
 }
 
 void
--- a/Source/Transport/ArrivingRequest.h
+++ b/Source/Transport/ArrivingRequest.h
@@ -113,10 +113,13 @@
   bool MayBeRefused() const override;
   void Refuse(std::optional<Error> aError) override;
 
-  /** Closes the connection, unless a request on it waits to be answered by
-   * then. Thread-safe. */
+  /** Closes the connection, unless a request arrives completely before that.
+   * Thread-safe. */
   void Displace();
 
+  /** Continues to do so after a read that has ended no request. */
+  void ContinueDisplacement();
+
   /** Returns and clears whether the connection must be closed for that. */
   bool TakeDisplacement();
 
@@ -144,7 +147,7 @@
   Task mCancel;
   bool mIsDetached = false;
   std::optional<Refusal> mRefusal;
-  bool mIsDisplaced = false;
+  std::atomic<bool> mIsDisplaced{ false };
 };
 
 }
--- a/Source/Transport/CallerSocket.h
+++ b/Source/Transport/CallerSocket.h
@@ -119,11 +119,16 @@
             return;
           }
           const ArrivingRequest::Scope scope(*request);
-          if (TakeRefusal(*request) || request->TakeDisplacement()) {
+          // What was read may be a whole request, which must be answered.
+          if (TakeRefusal(*request) ||
+              (aError && request->TakeDisplacement())) {
             aError = asio::error::no_buffer_space;
           }
           handler(aError, aSize);
           request->Settle();
+          if (!aError) {
+            request->ContinueDisplacement();
+          }
         }));
   }
 
--- a/Tests/Transport/QuietConnectionsTest.cxx
+++ b/Tests/Transport/QuietConnectionsTest.cxx
@@ -1,4 +1,7 @@
 #include <chrono>
+#include <memory>
+#include <utility>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -70,3 +73,45 @@
   quiet.MakePlaces(kStart + seconds(9));
   CHECK(quiet.Displaced() == 2);
 }
+
+// Guards against a request that has been read and is lost with its connection.
+TEST_CASE("Quiet connections: a request that is read keeps its connection")
+{
+  const auto connection = std::make_shared<ConnectionState>();
+  const auto request = std::make_shared<ArrivingRequest>(
+    std::make_shared<RequestMemory>(),
+    connection,
+    std::make_shared<ArrivalLimits>(almondspoke::RequestLimits{}));
+  std::vector<ArrivingRequest::Task> posted;
+  int cancels = 0;
+  request->Attach(
+    [&posted](ArrivingRequest::Task aTask) {
+      posted.push_back(std::move(aTask));
+    },
+    [&cancels] { ++cancels; });
+  request->Displace();
+  request->Begin();
+  SECTION("it arrives completely, and is answered at once")
+  {
+    request->Finish();
+    request->ContinueDisplacement();
+    REQUIRE(posted.size() == 1);
+    posted.front()();
+    CHECK(cancels == 0);
+    CHECK_FALSE(request->TakeDisplacement());
+  }
+  SECTION("it does not arrive completely")
+  {
+    request->ContinueDisplacement();
+    REQUIRE(posted.size() == 2);
+    posted.back()();
+    CHECK(cancels == 1);
+    CHECK(request->TakeDisplacement());
+  }
+  SECTION("another one waits to be answered")
+  {
+    REQUIRE(connection->BeginRequest());
+    posted.front()();
+    CHECK(cancels == 0);
+  }
+}
