Dispatch: Logs other local leaders in reach and how long a caller waits

Change: "peer-leads-locally" when another coordinator begins or ends to lead locally; wait_ms, may_have_run and local in "job-accepted".

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -8,6 +8,7 @@
 
 namespace {
 
+using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 /** Maximum number of tasks of one job; larger jobs are refused as malformed. */
@@ -293,7 +294,14 @@
     .With("queue", job.mQueue.mName)
     .With("manifest", mManifest->mVersion)
     .With("tasks", std::uint64_t{ job.mSteps.front().size() })
-    .With("expected_ms", std::int64_t{ job.mExpectedDuration.count() });
+    .With("expected_ms", std::int64_t{ job.mExpectedDuration.count() })
+    .With(
+      "wait_ms",
+      job.mAnswerBy
+        ? duration_cast<milliseconds>(*job.mAnswerBy - job.mArrivedAt).count()
+        : std::int64_t{ 0 })
+    .With("may_have_run", job.mMayHaveRun)
+    .With("local", mScope.mDataCentre);
   mJobs.emplace(job.mSubmission.mId, std::move(aJob));
   if (job.mIsStored) {
     PendingBatch([this, id = job.mSubmission.mId](bool) {
--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -522,6 +522,25 @@
                  status.value().mRelaysOrders,
                  status.value().mClock);
   mContacts.OnNamed(status.value().mMembers, now);
+  NoteLocalLeader(aFrom, status.value());
+}
+
+// More than one data centre may be led locally while their coordinators reach
+// each other, since all that is missing is a majority.
+void
+CoordinatorNode::NoteLocalLeader(const InstanceName& aPeer,
+                                 const LeaderStatus& aStatus)
+{
+  const bool hasChanged = aStatus.mLeadsLocally
+                            ? mLocalLeadersInReach.insert(aPeer).second
+                            : mLocalLeadersInReach.erase(aPeer) != 0;
+  if (hasChanged) {
+    EventLine(mLog, "peer-leads-locally")
+      .With("peer", aPeer)
+      .With("data_centre", aStatus.mDataCentre)
+      .With("now", aStatus.mLeadsLocally)
+      .With("leading_locally_here", mCoordinator.IsLocal());
+  }
 }
 
 void
--- a/Source/Dispatch/CoordinatorNode.h
+++ b/Source/Dispatch/CoordinatorNode.h
@@ -147,6 +147,8 @@
   void QueryPeers();
   void OnPeerStatus(const InstanceName& aFrom,
                     const Result<std::string>& aAnswer);
+  /** Records whether another coordinator in reach is a local leader. */
+  void NoteLocalLeader(const InstanceName& aPeer, const LeaderStatus& aStatus);
 
   const NodeSettings mSettings;
   asio::io_context& mContext;
@@ -172,6 +174,8 @@
   std::map<CallId, PeerRpc::Done> mOpenCalls;
   CallId mNextCallId = 1;
   LocalLeadership mLocalLead;
+  /** Other coordinators that led locally when they answered last. */
+  std::set<InstanceName> mLocalLeadersInReach;
   /** Latest term in which this instance has led as the elected leader. */
   Term mLeadingTerm = 0;
   /** Term whose fence is being stored before this instance leads in it; zero
