--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -166,15 +166,6 @@
   mNextCountAt = {};
 }
 
-void
-Coordinator::SetManifest(std::shared_ptr<const Manifest> aManifest)
-{
-  mManifest = std::move(aManifest);
-  EventLine(mLog, "manifest-in-force")
-    .With("version", mManifest->mVersion)
-    .With("queues", std::uint64_t{ mManifest->mQueues.size() });
-}
-
 void
 Coordinator::Call(CallId aCall, const JobCall& aRequest)
 {
--- a/Source/Dispatch/Manifest.cxx
+++ b/Source/Dispatch/Manifest.cxx
@@ -47,6 +47,24 @@
   return match;
 }
 
+const Queue*
+FindQueueInForce(const Manifest& aManifest, const Queue& aEarlier)
+{
+  const Queue* ofSameName = nullptr;
+  const Queue* atSamePlace = nullptr;
+  for (const Queue& queue : aManifest.mQueues) {
+    const bool hasName = queue.mName == aEarlier.mName;
+    const bool hasPlace = queue.mHost == aEarlier.mHost &&
+                          queue.mPathPrefix == aEarlier.mPathPrefix;
+    if (hasName && hasPlace) {
+      return &queue;
+    }
+    ofSameName = hasName && ofSameName == nullptr ? &queue : ofSameName;
+    atSamePlace = hasPlace ? &queue : atSamePlace;
+  }
+  return ofSameName != nullptr ? ofSameName : atSamePlace;
+}
+
 const Pool*
 FindPool(const Manifest& aManifest, std::string_view aName)
 {
--- a/Source/Dispatch/Manifest.h
+++ b/Source/Dispatch/Manifest.h
@@ -110,6 +110,12 @@
           std::string_view aHost,
           std::string_view aPath);
 
+/** Finds what an earlier version's queue is in a manifest: the queue of its
+ * name or, if it was renamed, the one at its host and prefix. Null if it was
+ * dropped. */
+const Queue*
+FindQueueInForce(const Manifest& aManifest, const Queue& aEarlier);
+
 /** Finds a pool by name; null if there is none. */
 const Pool*
 FindPool(const Manifest& aManifest, std::string_view aName);
