Dispatch: Accepted jobs follow their queue to the pool it has now

A queue was moved to another service and the only runner of the old one left; three accepted jobs of several steps had nothing running for 18 s beside 15 idle runners, and never ended. Cause: a job was placed by a copy of its queue from the time at which it was accepted. Nothing looked at accepted jobs when the manifest changed, and the next leader loaded the copy. Evidence: job-behind-manifest pool=old-desk pool_in_force=desk for the three jobs, and no order after it. Change: name, pool and priority of an open job are those of its queue in the manifest in force, at each change and when a leader loads the job. Due time, attempts and path stay as accepted. Why it works: all that places, orders and counts a job reads these fields, and the job is listed anew when they change.

--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -309,6 +309,14 @@
   void Refuse(DispatchJob& aJob, const char* aReason);
   double RandomJitter();
 
+  // Queues (CoordinatorQueues.cxx).
+  /** Returns the settings by which a job of an earlier version's queue is
+   * served now. */
+  Queue QueueInForce(const Queue& aEarlier) const;
+  /** Lets an open job follow its queue to the pool and the priority that the
+   * manifest in force states. Returns whether anything has changed. */
+  bool FollowQueue(DispatchJob& aJob);
+
   // Local leadership (CoordinatorLocal.cxx).
   /** Returns whether only an elected leader may serve a call. If so, the call
    * has been answered with the reason. */
--- a/Source/Dispatch/CoordinatorQueues.cxx
+++ b/Source/Dispatch/CoordinatorQueues.cxx
@@ -7,26 +7,68 @@
 Coordinator::SetManifest(std::shared_ptr<const Manifest> aManifest)
 {
   mManifest = std::move(aManifest);
+  std::uint64_t moved = 0;
   std::uint64_t withoutQueue = 0;
   for (const auto& [id, job] : mJobs) {
     if (job->HasEnded()) {
       continue;
     }
-    const Queue* queue = FindQueueInForce(*mManifest, job->mQueue);
-    withoutQueue += queue == nullptr ? 1 : 0;
-    if (queue != nullptr && queue->mPool != job->mQueue.mPool) {
-      EventLine(mLog, "job-behind-manifest")
-        .With("job", id)
-        .With("queue", queue->mName)
-        .With("pool", job->mQueue.mPool)
-        .With("pool_in_force", queue->mPool)
-        .With("state", NameOf(job->mState));
-    }
+    moved += FollowQueue(*job) ? 1 : 0;
+    withoutQueue +=
+      FindQueueInForce(*mManifest, job->mQueue) == nullptr ? 1 : 0;
   }
   EventLine(mLog, "manifest-in-force")
     .With("version", mManifest->mVersion)
     .With("queues", std::uint64_t{ mManifest->mQueues.size() })
+    .With("jobs_moved", moved)
     .With("jobs_without_queue", withoutQueue);
 }
 
+// Where a job runs, and before which others, is the operator's to change. What
+// its caller was promised when it was accepted stays: the time by which it is
+// due, and the number of its attempts. So does the path by which it is asked
+// for. A job whose queue was dropped stays with the last pool.
+Queue
+Coordinator::QueueInForce(const Queue& aEarlier) const
+{
+  Queue queue = aEarlier;
+  const Queue* current =
+    mManifest ? FindQueueInForce(*mManifest, aEarlier) : nullptr;
+  if (current != nullptr) {
+    queue.mName = current->mName;
+    queue.mPool = current->mPool;
+    queue.mPriority = current->mPriority;
+  }
+  return queue;
+}
+
+bool
+Coordinator::FollowQueue(DispatchJob& aJob)
+{
+  const Queue queue = QueueInForce(aJob.mQueue);
+  const bool isSame = queue.mPool == aJob.mQueue.mPool &&
+                      queue.mPriority == aJob.mQueue.mPriority &&
+                      queue.mName == aJob.mQueue.mName;
+  if (isSame) {
+    return false;
+  }
+  EventLine(mLog, "job-moved")
+    .With("job", aJob.mSubmission.mId)
+    .With("queue", queue.mName)
+    .With("pool", queue.mPool)
+    .With("pool_before", aJob.mQueue.mPool)
+    .With("priority", queue.mPriority)
+    .With("priority_before", aJob.mQueue.mPriority)
+    .With("manifest", mManifest->mVersion)
+    .With("open_runs", std::uint64_t{ aJob.mAssignedTaskCount });
+  // The job is listed by its class and its priority.
+  mReady.Remove(aJob);
+  aJob.mQueue = queue;
+  aJob.mClass.mPool = queue.mPool;
+  aJob.mClass.mIsTooLarge = IsTooLarge(aJob);
+  aJob.mPlacementWait.reset();
+  mReady.Update(aJob);
+  return true;
+}
+
 }
--- a/Source/Dispatch/CoordinatorRecords.cxx
+++ b/Source/Dispatch/CoordinatorRecords.cxx
@@ -247,7 +247,7 @@
 Coordinator::LoadStoredJob(const StoredJob& aStored)
 {
   const TimePoint now = mClock.MonotonicNow();
-  JobPtr job = MakeJob(aStored.mSubmission, aStored.mQueue);
+  JobPtr job = MakeJob(aStored.mSubmission, QueueInForce(aStored.mQueue));
   const milliseconds age(
     std::max<std::int64_t>(0, WallMilliseconds(mClock) - aStored.mAcceptedMs));
   job->mArrivedAt -= age;
--- a/Source/Dispatch/DispatchJob.h
+++ b/Source/Dispatch/DispatchJob.h
@@ -107,7 +107,8 @@
   using TimePoint = Clock::Monotonic;
 
   JobSubmission mSubmission;
-  /** The queue's settings at the time at which the job arrived. */
+  /** The queue's settings: name, pool and priority by the manifest in force,
+   * the others as they were when the job was accepted. */
   Queue mQueue;
   PlacementClass mClass;
   std::uint64_t mArrivalNumber = 0;
