--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -175,7 +175,10 @@
     &Coordinator::Cancel,
   };
   if (!mManifest) {
-    Reply(aCall, JobReplyKind::Unavailable, "no manifest has been loaded yet");
+    Reply(aCall,
+          aRequest,
+          JobReplyKind::Unavailable,
+          "no manifest has been loaded yet");
     return;
   }
   if (mScope.IsLocal() && DefersToElectedLeader(aCall, aRequest)) {
@@ -185,8 +188,10 @@
     FindQueue(*mManifest, aRequest.mHost, aRequest.mPath);
   const auto kind = static_cast<std::size_t>(aRequest.mKind);
   if (match.mQueue == nullptr || kind >= kHandlers.size()) {
-    Reply(
-      aCall, JobReplyKind::UnknownQueue, "no queue matches the host and path");
+    Reply(aCall,
+          aRequest,
+          JobReplyKind::UnknownQueue,
+          "no queue matches the host and path");
     return;
   }
   (this->*kHandlers[kind])(aCall, aRequest, match);
@@ -206,11 +211,12 @@
     return;
   }
   if (const char* error = ValidationError(submission)) {
-    Reply(aCall, JobReplyKind::Malformed, error);
+    Reply(aCall, aRequest, JobReplyKind::Malformed, error);
     return;
   }
   if (!submission.mUnsupportedFeature.empty()) {
     Reply(aCall,
+          aRequest,
           JobReplyKind::Unavailable,
           "not supported yet: " + submission.mUnsupportedFeature);
     return;
@@ -345,7 +351,9 @@
 }
 
 void
-Coordinator::Query(CallId aCall, const JobCall&, const QueueMatch& aMatch)
+Coordinator::Query(CallId aCall,
+                   const JobCall& aRequest,
+                   const QueueMatch& aMatch)
 {
   if (aMatch.mPathSuffix.empty()) {
     ReplyPendingCount(aCall, aMatch);
@@ -354,6 +362,7 @@
   const DispatchJob* job = FindJob(std::string(aMatch.mPathSuffix));
   if (job == nullptr) {
     Reply(aCall,
+          aRequest,
           mRecoveryComplete ? JobReplyKind::UnknownJob
                             : JobReplyKind::Unavailable,
           "no job with this id is known");
@@ -366,11 +375,14 @@
 }
 
 void
-Coordinator::Cancel(CallId aCall, const JobCall&, const QueueMatch& aMatch)
+Coordinator::Cancel(CallId aCall,
+                    const JobCall& aRequest,
+                    const QueueMatch& aMatch)
 {
   DispatchJob* job = FindJob(std::string(aMatch.mPathSuffix));
   if (job == nullptr) {
     Reply(aCall,
+          aRequest,
           mRecoveryComplete ? JobReplyKind::UnknownJob
                             : JobReplyKind::Unavailable,
           "no job with this id is known");
@@ -468,7 +480,10 @@
 }
 
 void
-Coordinator::Reply(CallId aCall, JobReplyKind aKind, std::string aMessage)
+Coordinator::Reply(CallId aCall,
+                   const JobCall& aRequest,
+                   JobReplyKind aKind,
+                   std::string aMessage)
 {
   JobReply reply;
   reply.mKind = aKind;
@@ -477,7 +492,9 @@
     reply.mRetryAfterMs = kUnavailableRetryMs;
   }
   EventLine(mLog, "call-answered")
-    .With("call", std::uint64_t{ aCall })
+    .With("method", NameOf(aRequest.mKind))
+    .With("path", aRequest.mPath)
+    .With("earlier_sends", aRequest.mEarlierSends)
     .With("kind", NameOf(aKind))
     .With("reason", reply.mMessage);
   mReplies.Reply(aCall, reply);
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -304,7 +304,11 @@
   /** Counts the cores of a worker as usable or not, according to its state. */
   void CountUsableCores(WorkerSession& aWorker, TimePoint aNow);
   void CountUsableCores(WorkerSession& aWorker, std::uint32_t aMilliCores);
-  void Reply(CallId aCall, JobReplyKind aKind, std::string aMessage = {});
+  /** Answers a call that was not acted on, with the reason. */
+  void Reply(CallId aCall,
+             const JobCall& aRequest,
+             JobReplyKind aKind,
+             std::string aMessage);
   void ReplyAll(DispatchJob& aJob, const JobReply& aReply);
   void Refuse(DispatchJob& aJob, const char* aReason);
   double RandomJitter();
--- a/Source/Dispatch/CoordinatorLocal.cxx
+++ b/Source/Dispatch/CoordinatorLocal.cxx
@@ -20,6 +20,7 @@
   // A cancellation that is not stored would not bind the next elected leader.
   if (aRequest.mKind == JobCallKind::Cancel) {
     Reply(aCall,
+          aRequest,
           JobReplyKind::Unavailable,
           "a cancellation needs an elected leader, and none can be reached");
     return true;
@@ -32,7 +33,7 @@
   }
   if (mExcludedCalls.count(CallKeyOf(aRequest)) != 0 ||
       !mLedger.FoundRunsOf(id).empty()) {
-    Reply(aCall, JobReplyKind::Unknown, kMayRunElsewhere);
+    Reply(aCall, aRequest, JobReplyKind::Unknown, kMayRunElsewhere);
     return true;
   }
   const bool canServe = aRequest.mKind == JobCallKind::Submit &&
@@ -40,6 +41,7 @@
                         aRequest.mManifestVersion <= mManifest->mVersion;
   if (!canServe) {
     Reply(aCall,
+          aRequest,
           JobReplyKind::Unavailable,
           "this request needs an elected leader, and none can be reached");
   }
--- a/Source/Dispatch/JobMessages.h
+++ b/Source/Dispatch/JobMessages.h
@@ -25,6 +25,18 @@
   Cancel = 2
 };
 
+inline constexpr std::array<EnumName<JobCallKind>, 3> kJobCallNames = { {
+  { JobCallKind::Submit, "submit" },
+  { JobCallKind::Query, "query" },
+  { JobCallKind::Cancel, "cancel" },
+} };
+
+inline std::string_view
+NameOf(JobCallKind aKind)
+{
+  return NameOf(kJobCallNames, aKind);
+}
+
 /** \brief A caller's request as a gateway sends it to the leader. */
 struct JobCall
 {
