Dispatch: Remembers a cancelling that comes before its job

DELETEs were answered 410 while the POSTs of their jobs lay in the socket of a frozen gateway; when it woke, all tasks of the jobs were started, 3.5 s and more after the acknowledgement. Cause: the leader kept nothing of a cancelling whose job it did not know. Evidence: call-answered method=cancel kind=unknown-job, then job-accepted of the same job 3.5 s later by the same leader. Change: such a cancelling is stored before it is answered and kept for 75 s; a submission that comes later is answered as cancelled, runs that are found of the job are stopped, and a local leader loads what was stored. Cancelled best-effort jobs are kept as long, 15 s before. The test of their removal asks for it after 80 s in place of 18, and that they are there after 60 s. Why it works: the memory outlives the leader and is there before the answer is. Cancellations move to a file of their own, the counters to a header.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -112,9 +112,9 @@
     for (const auto& [id, job] : aState.mJobs) {
       LoadStoredJob(job);
     }
-    for (const auto& [id, cancelledMs] : aState.mCancelledBestEffort) {
-      LoadCancelledJob(id, cancelledMs);
-    }
+  }
+  for (const auto& [id, cancelledMs] : aState.mCancelledBestEffort) {
+    LoadCancelledJob(id, cancelledMs);
   }
   for (const auto& [id, worker] : aState.mWorkers) {
     LoadStoredWorker(worker);
@@ -155,6 +155,7 @@
   mRoom.Clear();
   mLastTriedInTurn = {};
   mJobs.clear();
+  mUnseenJobs = 0;
   mJobExpiries.clear();
   mUnmatchedEnds.clear();
   mPendingBatch.reset();
@@ -245,6 +246,8 @@
 void
 Coordinator::Attach(DispatchJob& aJob, CallId aCall, const JobCall& aRequest)
 {
+  mUnseenJobs -= aJob.mIsHandedIn ? 0 : 1;
+  aJob.mIsHandedIn = true;
   EventLine(mLog, "job-attached")
     .With("job", aJob.mSubmission.mId)
     .With("state", NameOf(aJob.mState));
@@ -360,27 +363,7 @@
     return;
   }
   const DispatchJob* job = FindJob(std::string(aMatch.mPathSuffix));
-  if (job == nullptr) {
-    Reply(aCall,
-          aRequest,
-          mRecoveryComplete ? JobReplyKind::UnknownJob
-                            : JobReplyKind::Unavailable,
-          "no job with this id is known");
-    return;
-  }
-  JobReply reply;
-  reply.mKind = JobReplyKind::State;
-  reply.mState = job->mState;
-  mReplies.Reply(aCall, reply);
-}
-
-void
-Coordinator::Cancel(CallId aCall,
-                    const JobCall& aRequest,
-                    const QueueMatch& aMatch)
-{
-  DispatchJob* job = FindJob(std::string(aMatch.mPathSuffix));
-  if (job == nullptr) {
+  if (job == nullptr || !job->mIsHandedIn) {
     Reply(aCall,
           aRequest,
           mRecoveryComplete ? JobReplyKind::UnknownJob
@@ -388,44 +371,12 @@
           "no job with this id is known");
     return;
   }
-  EventLine(mLog, "job-cancelled")
-    .With("job", job->mSubmission.mId)
-    .With("state", NameOf(job->mState));
-  if (!job->HasEnded()) {
-    StoreCancel(*job, aCall);
-    return;
-  }
   JobReply reply;
   reply.mKind = JobReplyKind::State;
   reply.mState = job->mState;
   mReplies.Reply(aCall, reply);
 }
 
-void
-Coordinator::StoreCancel(DispatchJob& aJob, CallId aCall)
-{
-  const JobId id = aJob.mSubmission.mId;
-  aJob.mCancelRequested = true;
-  AbandonWaitingTasks(aJob);
-  StopRunsOf(aJob);
-  RecordBatch& batch = PendingBatch([this, id, aCall](bool) {
-    DispatchJob* job = FindJob(id);
-    if (job == nullptr) {
-      return;
-    }
-    if (!job->HasEnded()) {
-      StopRunsOf(*job);
-      EndJob(*job, JobState::Cancelled);
-    }
-    JobReply reply;
-    reply.mKind = JobReplyKind::State;
-    reply.mState = job->mState;
-    mReplies.Reply(aCall, reply);
-  });
-  (aJob.mIsStored ? batch.mCancelled : batch.mCancelledBestEffort)
-    .push_back(id);
-}
-
 void
 Coordinator::ReplyPendingCount(CallId aCall, const QueueMatch& aMatch)
 {
@@ -446,7 +397,7 @@
 {
   mPendingCounts.clear();
   for (const auto& [id, job] : mJobs) {
-    if (!job->mHasBegun && !job->HasEnded()) {
+    if (job->mIsHandedIn && !job->mHasBegun && !job->HasEnded()) {
       ++mPendingCounts[job->mQueue.mName];
     }
   }
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -18,9 +18,9 @@
 #include "Base/Clock.h"
 #include "Base/EventLog.h"
 #include "Dispatch/AdmissionStrategy.h"
+#include "Dispatch/CoordinatorCounters.h"
 #include "Dispatch/DispatchJob.h"
 #include "Dispatch/DispatchState.h"
-#include "Dispatch/LatencyHistogram.h"
 #include "Dispatch/NodeSettings.h"
 #include "Dispatch/OrderFlow.h"
 #include "Dispatch/OrderTimeoutEstimator.h"
@@ -79,6 +79,10 @@
   /** Time for which the result of a best-effort job is kept for callers that
    * repeat their request. */
   std::chrono::milliseconds mBestEffortResultRetention{ 15'000 };
+  /** Time for which a cancellation that no stored job stands for is kept.
+   * Longer than any disruption may hold up the submission of the job, and than
+   * a caller may wait for the answer to it. */
+  std::chrono::milliseconds mCancellationRetention{ 75'000 };
   /** Time for which the result of a stored job is kept. */
   std::chrono::milliseconds mStoredResultRetention{ 130'000 };
   /** A worker without runs is removed if it has not reported for this long. */
@@ -94,45 +98,6 @@
   std::uint64_t mSeed = 1;
 };
 
-/** \brief Totals since a Coordinator was created. */
-struct CoordinatorCounters
-{
-  std::uint64_t mAccepted = 0;
-  std::uint64_t mRefused = 0;
-  /** Refused jobs by reason: the leader is behind; the queue is too long; no
-   * room was found in time; the leader does not recover in time. */
-  std::uint64_t mRefusedForOverload = 0;
-  std::uint64_t mRefusedForBacklog = 0;
-  std::uint64_t mRefusedAfterWait = 0;
-  std::uint64_t mRefusedInRecovery = 0;
-  /** Jobs that could no longer end in time and were served after others. */
-  std::uint64_t mDeferred = 0;
-  std::uint64_t mCompleted = 0;
-  std::uint64_t mFailed = 0;
-  std::uint64_t mGivenUp = 0;
-  /** Jobs of a local leader that were stopped as nobody waited any more. */
-  std::uint64_t mUnawaited = 0;
-  std::uint64_t mStarts = 0;
-  std::uint64_t mStops = 0;
-  std::uint64_t mHolds = 0;
-  std::uint64_t mUnansweredOrders = 0;
-  std::uint64_t mRunsDone = 0;
-  std::uint64_t mRunsFailed = 0;
-  std::uint64_t mRunsLost = 0;
-  std::uint64_t mStragglers = 0;
-  std::uint64_t mStragglersLeft = 0;
-};
-
-/** \brief Latency distributions since a Coordinator was created: total time of
- * jobs, time to the first start of a job, and time to the answer of a start
- * order. */
-struct CoordinatorLatencies
-{
-  LatencyHistogram mJobs;
-  LatencyHistogram mFirstStarts;
-  LatencyHistogram mStartAnswers;
-};
-
 /** \brief The workers that a leader controls. */
 struct LeadershipScope
 {
@@ -279,8 +244,15 @@
   JobPtr MakeJob(const JobSubmission& aSubmission, const Queue& aQueue) const;
   void Accept(JobPtr aJob, CallId aCall, const JobCall& aRequest);
   void OnAcceptStored(const JobId& aId);
+  // Cancellations (CoordinatorCancel.cxx).
+  /** Remembers the cancellation of an unknown job, whose submission may still
+   * come. */
+  void CancelAhead(CallId aCall, const JobCall& aRequest, const JobId& aId);
+  /** Returns a best-effort job of which nothing but its id is known. */
+  JobPtr MakeUnseenJob(const JobId& aId) const;
   /** Stores the cancellation of a job and then replies. */
   void StoreCancel(DispatchJob& aJob, CallId aCall);
+  void ReplyCancelled(CallId aCall, const DispatchJob& aJob);
   bool IsRefusedForOverload(const DispatchJob& aJob) const;
   /** Refuses a job that was not accepted. */
   void RefuseNew(CallId aCall,
@@ -556,6 +528,8 @@
   WorkerTimers mTimers;
   std::uint64_t mNextSessionNumber = 1;
   std::unordered_map<JobId, JobPtr> mJobs;
+  /** Number of the jobs that are not handed in. */
+  std::size_t mUnseenJobs = 0;
   const std::unique_ptr<AdmissionStrategy> mAdmission;
   RoomEstimator mRoom;
   ReadyQueue mReady;
--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -155,7 +155,9 @@
   const TimePoint now = mClock.MonotonicNow();
   aJob.mState = aState;
   aJob.mEndedAt = now;
-  mLatencies.mJobs.Add(duration_cast<milliseconds>(now - aJob.mArrivedAt));
+  if (aJob.mIsHandedIn) {
+    mLatencies.mJobs.Add(duration_cast<milliseconds>(now - aJob.mArrivedAt));
+  }
   mReady.Remove(aJob);
   ExpireAt(aJob, now + RetentionOf(aJob));
   mCounters.mCompleted += aState == JobState::Completed ? 1 : 0;
@@ -455,8 +457,12 @@
 milliseconds
 Coordinator::RetentionOf(const DispatchJob& aJob) const
 {
-  return aJob.mIsStored ? mOptions.mStoredResultRetention
-                        : mOptions.mBestEffortResultRetention;
+  if (aJob.mIsStored) {
+    return mOptions.mStoredResultRetention;
+  }
+  return aJob.mState == JobState::Cancelled
+           ? mOptions.mCancellationRetention
+           : mOptions.mBestEffortResultRetention;
 }
 
 void
@@ -489,6 +495,7 @@
     StopFoundRunsOf(id);
     RecordRemoval(*job);
     mReady.Remove(*job);
+    mUnseenJobs -= job->mIsHandedIn ? 0 : 1;
     mJobs.erase(id);
   }
 }
--- a/Source/Dispatch/CoordinatorRecords.cxx
+++ b/Source/Dispatch/CoordinatorRecords.cxx
@@ -293,26 +293,6 @@
   }
 }
 
-// The retention begins anew with each leader, so that it does not depend on how
-// well the clocks of the leaders agree.
-void
-Coordinator::LoadCancelledJob(const JobId& aId, std::int64_t aCancelledMs)
-{
-  auto job = std::make_unique<DispatchJob>();
-  job->mSubmission.mId = aId;
-  job->mSubmission.mBestEffort = true;
-  job->mState = JobState::Cancelled;
-  job->mCancelRequested = true;
-  job->mArrivedAt = mClock.MonotonicNow();
-  job->mEndedAt = job->mArrivedAt;
-  job->mArrivalNumber = mNextArrivalNumber++;
-  ExpireAt(*job, job->mEndedAt + RetentionOf(*job));
-  EventLine(mLog, "cancelled-job-loaded")
-    .With("job", aId)
-    .With("age_ms", WallMilliseconds(mClock) - aCancelledMs);
-  mJobs.emplace(aId, std::move(job));
-}
-
 void
 Coordinator::RecordRemoval(const DispatchJob& aJob)
 {
--- a/Source/Dispatch/DispatchJob.h
+++ b/Source/Dispatch/DispatchJob.h
@@ -145,6 +145,9 @@
   bool mAbandoned = false;
   /** True once a call has requested the job's cancellation. */
   bool mCancelRequested = false;
+  /** False for a job of which this leader has seen nothing but a cancellation:
+   * its submission may still come, for example by a gateway that was frozen. */
+  bool mIsHandedIn = true;
   std::vector<std::vector<DispatchTask>> mSteps;
   /** Number of unfinished tasks of each step. */
   std::vector<std::uint32_t> mUnfinishedTasks;
--- a/Source/Dispatch/DispatchMetrics.cxx
+++ b/Source/Dispatch/DispatchMetrics.cxx
@@ -23,7 +23,7 @@
   std::uint64_t Counters::*mCount;
 };
 
-constexpr std::array<CounterRow<CoordinatorCounters>, 20>
+constexpr std::array<CounterRow<CoordinatorCounters>, 22>
   kCoordinatorCounters = { {
     { "almondspoke_dispatch_jobs_accepted_total",
       "Jobs that this leader took",
@@ -58,6 +58,12 @@
     { "almondspoke_dispatch_jobs_unawaited_total",
       "Jobs that a local leader stopped since no caller waited any more",
       &CoordinatorCounters::mUnawaited },
+    { "almondspoke_dispatch_cancelled_ahead_total",
+      "Cancellations of jobs that were not known",
+      &CoordinatorCounters::mCancelledAhead },
+    { "almondspoke_dispatch_cancels_refused_total",
+      "Cancellations of unknown jobs that could not be remembered",
+      &CoordinatorCounters::mCancelsRefused },
     { "almondspoke_dispatch_starts_total",
       "Orders to start a run",
       &CoordinatorCounters::mStarts },
--- a/Tests/Dispatch/RunEvidenceTest.cxx
+++ b/Tests/Dispatch/RunEvidenceTest.cxx
@@ -377,7 +377,9 @@
   }
   CHECK(fixture.mFleet.StartsOf("j1") == 2);
   // It is removed once no repeated submission is expected any more.
-  fixture.Run(milliseconds(18'000));
+  fixture.Run(milliseconds(60'000));
+  CHECK(fixture.mGroup.mState.mCancelledBestEffort.size() == 1);
+  fixture.Run(milliseconds(20'000));
   CHECK(fixture.mGroup.mState.mCancelledBestEffort.empty());
 }
 
