Dispatch: Rejects no job that an earlier leader may have run

A manifest dropped a route and the leader was killed; the open calls of three jobs that were at work, two of which had run to their end, were answered 404. Cause: each handler rejected by a rule of its own, and those for an unknown queue, a missing manifest, a malformed and an unsupported job did not look at whether an earlier leader had the call. Evidence: call-returned acted_on=unknown on the gateway for the three calls that the next leader answered 404. Change: one place makes all rejections; what may have run (sent to an earlier leader, or runs or ends of it found on workers) is answered as unknown. Why it works: no other code builds these replies.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -176,10 +176,10 @@
     &Coordinator::Cancel,
   };
   if (!mManifest) {
-    Reply(aCall,
-          aRequest,
-          JobReplyKind::Unavailable,
-          "no manifest has been loaded yet");
+    Reject(aCall,
+           aRequest,
+           JobReplyKind::Unavailable,
+           "no manifest has been loaded yet");
     return;
   }
   if (mScope.IsLocal() && DefersToElectedLeader(aCall, aRequest)) {
@@ -189,10 +189,10 @@
     FindQueue(*mManifest, aRequest.mHost, aRequest.mPath);
   const auto kind = static_cast<std::size_t>(aRequest.mKind);
   if (match.mQueue == nullptr || kind >= kHandlers.size()) {
-    Reply(aCall,
-          aRequest,
-          JobReplyKind::UnknownQueue,
-          "no queue matches the host and path");
+    Reject(aCall,
+           aRequest,
+           JobReplyKind::UnknownQueue,
+           "no queue matches the host and path");
     return;
   }
   (this->*kHandlers[kind])(aCall, aRequest, match);
@@ -212,18 +212,18 @@
     return;
   }
   if (const char* error = ValidationError(submission)) {
-    Reply(aCall, aRequest, JobReplyKind::Malformed, error);
+    Reject(aCall, aRequest, JobReplyKind::Malformed, error);
     return;
   }
   if (!submission.mUnsupportedFeature.empty()) {
-    Reply(aCall,
-          aRequest,
-          JobReplyKind::Unavailable,
-          "not supported yet: " + submission.mUnsupportedFeature);
+    Reject(aCall,
+           aRequest,
+           JobReplyKind::Unavailable,
+           "not supported yet: " + submission.mUnsupportedFeature);
     return;
   }
   JobPtr job = MakeJob(submission, *aMatch.mQueue);
-  job->mMayHaveRun = aRequest.mEarlierSends > 0;
+  job->mMayHaveRun = MayHaveRun(aRequest);
   if (aRequest.mWaitMs > 0) {
     job->mAnswerBy = job->mArrivedAt + milliseconds(aRequest.mWaitMs);
   }
@@ -364,11 +364,11 @@
   }
   const DispatchJob* job = FindJob(std::string(aMatch.mPathSuffix));
   if (job == nullptr || !job->mIsHandedIn) {
-    Reply(aCall,
-          aRequest,
-          mRecoveryComplete ? JobReplyKind::UnknownJob
-                            : JobReplyKind::Unavailable,
-          "no job with this id is known");
+    Reject(aCall,
+           aRequest,
+           mRecoveryComplete ? JobReplyKind::UnknownJob
+                             : JobReplyKind::Unavailable,
+           "no job with this id is known");
     return;
   }
   JobReply reply;
@@ -431,26 +431,62 @@
 }
 
 void
-Coordinator::Reply(CallId aCall,
-                   const JobCall& aRequest,
-                   JobReplyKind aKind,
-                   std::string aMessage)
+Coordinator::Reject(CallId aCall,
+                    const JobCall& aRequest,
+                    JobReplyKind aKind,
+                    std::string aMessage)
 {
-  JobReply reply;
-  reply.mKind = aKind;
-  reply.mMessage = std::move(aMessage);
-  if (aKind == JobReplyKind::Unavailable) {
+  JobReply reply = RejectionOf(MayHaveRun(aRequest), aKind, aMessage);
+  if (reply.mKind == JobReplyKind::Unavailable) {
     reply.mRetryAfterMs = kUnavailableRetryMs;
   }
   EventLine(mLog, "call-answered")
     .With("method", NameOf(aRequest.mKind))
     .With("path", aRequest.mPath)
     .With("earlier_sends", aRequest.mEarlierSends)
-    .With("kind", NameOf(aKind))
+    .With("kind", NameOf(reply.mKind))
     .With("reason", reply.mMessage);
   mReplies.Reply(aCall, reply);
 }
 
+bool
+Coordinator::MayHaveRun(const JobCall& aRequest) const
+{
+  if (aRequest.mKind != JobCallKind::Submit || aRequest.mEarlierSends > 0) {
+    return aRequest.mKind == JobCallKind::Submit;
+  }
+  const QueueMatch match =
+    mManifest ? FindQueue(*mManifest, aRequest.mHost, aRequest.mPath)
+              : QueueMatch();
+  const JobId id(match.mPathSuffix);
+  const auto end = mUnmatchedEnds.lower_bound({ id, 0, 0, 0 });
+  return !mLedger.FoundRunsOf(id).empty() ||
+         (end != mUnmatchedEnds.end() && end->first.mJob == id);
+}
+
+JobReply
+Coordinator::RejectionOf(bool aMayHaveRun,
+                         JobReplyKind aKind,
+                         const std::string& aMessage)
+{
+  static constexpr std::array<JobReplyKind, 4> kNotRun = {
+    JobReplyKind::UnknownQueue,
+    JobReplyKind::Malformed,
+    JobReplyKind::Refused,
+    JobReplyKind::Unavailable,
+  };
+  const bool saysNotRun =
+    std::find(kNotRun.begin(), kNotRun.end(), aKind) != kNotRun.end();
+  JobReply reply;
+  reply.mKind = aKind;
+  reply.mMessage = aMessage;
+  if (aMayHaveRun && saysNotRun) {
+    reply.mKind = JobReplyKind::Unknown;
+    reply.mMessage += "; the job may have run before";
+  }
+  return reply;
+}
+
 void
 Coordinator::ReplyAll(DispatchJob& aJob, const JobReply& aReply)
 {
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -276,11 +276,19 @@
   /** Counts the cores of a worker as usable or not, according to its state. */
   void CountUsableCores(WorkerSession& aWorker, TimePoint aNow);
   void CountUsableCores(WorkerSession& aWorker, std::uint32_t aMilliCores);
-  /** Answers a call that was not acted on, with the reason. */
-  void Reply(CallId aCall,
-             const JobCall& aRequest,
-             JobReplyKind aKind,
-             std::string aMessage);
+  /** Answers a call that is not acted on, with the reason. */
+  void Reject(CallId aCall,
+              const JobCall& aRequest,
+              JobReplyKind aKind,
+              std::string aMessage);
+  /** Returns whether an earlier leader may have run the job that a call hands
+   * in: it was sent there, or traces of the job were found. */
+  bool MayHaveRun(const JobCall& aRequest) const;
+  /** Returns a rejection, which says that a job did not run and will not, or
+   * that the outcome is unknown if this may not be true. */
+  static JobReply RejectionOf(bool aMayHaveRun,
+                              JobReplyKind aKind,
+                              const std::string& aMessage);
   void ReplyAll(DispatchJob& aJob, const JobReply& aReply);
   void Refuse(DispatchJob& aJob, const char* aReason);
   double RandomJitter();
--- a/Source/Dispatch/CoordinatorAdmission.cxx
+++ b/Source/Dispatch/CoordinatorAdmission.cxx
@@ -66,11 +66,10 @@
     .With("order_ms", std::int64_t{ aJob.mOrderTime.count() })
     .With("delay_ms", std::int64_t{ mLoad.Delay().count() })
     .With("retry_after_ms", std::int64_t{ aDecision.mRetryDelay.count() });
-  JobReply reply;
-  reply.mKind = JobReplyKind::Refused;
+  JobReply reply =
+    RejectionOf(!aJob.MayBeRefused(), JobReplyKind::Refused, aMessage);
   reply.mRetryAfterMs =
     static_cast<std::uint32_t>(aDecision.mRetryDelay.count());
-  reply.mMessage = aMessage;
   mReplies.Reply(aCall, reply);
 }
 
@@ -206,11 +205,10 @@
   ++mCounters.mRefused;
   const AdmissionDecision decision = Decide(aJob, InputsFor(aJob));
   ++mCounters.mRefusedAfterWait;
-  JobReply reply;
-  reply.mKind = JobReplyKind::Refused;
+  JobReply reply =
+    RejectionOf(!aJob.MayBeRefused(), JobReplyKind::Refused, aReason);
   reply.mRetryAfterMs =
     static_cast<std::uint32_t>(decision.mRetryDelay.count());
-  reply.mMessage = aReason;
   EventLine(mLog, "job-refused")
     .With("job", aJob.mSubmission.mId)
     .With("queue", aJob.mQueue.mName)
--- a/Source/Dispatch/CoordinatorCancel.cxx
+++ b/Source/Dispatch/CoordinatorCancel.cxx
@@ -42,19 +42,19 @@
                          const JobId& aId)
 {
   if (aId.empty()) {
-    Reply(aCall,
-          aRequest,
-          JobReplyKind::UnknownJob,
-          "the path names no job of the queue");
+    Reject(aCall,
+           aRequest,
+           JobReplyKind::UnknownJob,
+           "the path names no job of the queue");
     return;
   }
   if (mUnseenJobs >= kMaxUnseenJobs || aId.size() > kMaxUnseenIdBytes) {
     ++mCounters.mCancelsRefused;
-    Reply(aCall,
-          aRequest,
-          JobReplyKind::Unavailable,
-          "no job with this id is known, and no more cancellations of unknown "
-          "jobs can be remembered");
+    Reject(aCall,
+           aRequest,
+           JobReplyKind::Unavailable,
+           "no job with this id is known, and no more cancellations of unknown "
+           "jobs can be remembered");
     return;
   }
   ++mCounters.mCancelledAhead;
--- a/Source/Dispatch/CoordinatorLocal.cxx
+++ b/Source/Dispatch/CoordinatorLocal.cxx
@@ -19,10 +19,10 @@
 {
   // A cancellation that is not stored would not bind the next elected leader.
   if (aRequest.mKind == JobCallKind::Cancel) {
-    Reply(aCall,
-          aRequest,
-          JobReplyKind::Unavailable,
-          "a cancellation needs an elected leader, and none can be reached");
+    Reject(aCall,
+           aRequest,
+           JobReplyKind::Unavailable,
+           "a cancellation needs an elected leader, and none can be reached");
     return true;
   }
   const QueueMatch match =
@@ -33,17 +33,17 @@
   }
   if (mExcludedCalls.count(CallKeyOf(aRequest)) != 0 ||
       !mLedger.FoundRunsOf(id).empty()) {
-    Reply(aCall, aRequest, JobReplyKind::Unknown, kMayRunElsewhere);
+    Reject(aCall, aRequest, JobReplyKind::Unknown, kMayRunElsewhere);
     return true;
   }
   const bool canServe = aRequest.mKind == JobCallKind::Submit &&
                         aRequest.mJob.mBestEffort && match.mQueue != nullptr &&
                         aRequest.mManifestVersion <= mManifest->mVersion;
   if (!canServe) {
-    Reply(aCall,
-          aRequest,
-          JobReplyKind::Unavailable,
-          "this request needs an elected leader, and none can be reached");
+    Reject(aCall,
+           aRequest,
+           JobReplyKind::Unavailable,
+           "this request needs an elected leader, and none can be reached");
   }
   return !canServe;
 }
