Dispatch: Knows an accepted job by its path without its queue

Cause: the queue of the path was looked for before the job. Change: a known job keeps the path by which it was handed in, whatever became of its queue. A job that is handed in anew at such a path is still an unknown queue, unless it was accepted there before: then its outcome is unknown.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -155,6 +155,7 @@
   mRoom.Clear();
   mLastTriedInTurn = {};
   mJobs.clear();
+  mJobPlaces.clear();
   mUnseenJobs = 0;
   mJobExpiries.clear();
   mUnmatchedEnds.clear();
@@ -185,8 +186,7 @@
   if (mScope.IsLocal() && DefersToElectedLeader(aCall, aRequest)) {
     return;
   }
-  const QueueMatch match =
-    FindQueue(*mManifest, aRequest.mHost, aRequest.mPath);
+  const QueueMatch match = MatchOf(aRequest.mHost, aRequest.mPath);
   const auto kind = static_cast<std::size_t>(aRequest.mKind);
   if (match.mQueue == nullptr || kind >= kHandlers.size()) {
     Reject(aCall,
@@ -208,6 +208,15 @@
   submission.mId = std::string(aMatch.mPathSuffix);
   if (DispatchJob* known = FindJob(submission.mId)) {
     known->mMayHaveRun = known->mMayHaveRun || aRequest.mEarlierSends > 0;
+    if (aRequest.mEarlierSends == 0 &&
+        !LeadsToQueue(aRequest, known->mSubmission.mId)) {
+      // The caller sends it anew: the queue takes nothing any more.
+      Reject(aCall,
+             aRequest,
+             JobReplyKind::Unknown,
+             "the job was accepted before its queue was dropped");
+      return;
+    }
     Attach(*known, aCall, aRequest);
     return;
   }
@@ -314,6 +323,7 @@
         : std::int64_t{ 0 })
     .With("may_have_run", job.mMayHaveRun)
     .With("local", mScope.mDataCentre);
+  mJobPlaces.emplace(job.mQueue.mHost, job.mQueue.mPathPrefix);
   mJobs.emplace(job.mSubmission.mId, std::move(aJob));
   if (job.mIsStored) {
     PendingBatch([this, id = job.mSubmission.mId](bool) {
@@ -409,7 +419,7 @@
   if (!mManifest) {
     return;
   }
-  const QueueMatch match = FindQueue(*mManifest, aLeft.mHost, aLeft.mPath);
+  const QueueMatch match = MatchOf(aLeft.mHost, aLeft.mPath);
   DispatchJob* job =
     match.mQueue == nullptr ? nullptr : FindJob(std::string(match.mPathSuffix));
   if (job == nullptr || job->HasEnded() || job->mIsStored) {
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -294,6 +294,11 @@
   double RandomJitter();
 
   // Queues (CoordinatorQueues.cxx).
+  /** Finds the queue of a path. A known job keeps the path by which it was
+   * handed in, also if that leads to no queue any more. */
+  QueueMatch MatchOf(const std::string& aHost, const std::string& aPath);
+  /** Returns whether the manifest in force has a queue for a job's path. */
+  bool LeadsToQueue(const JobCall& aRequest, const JobId& aId) const;
   /** Returns the settings by which a job of an earlier version's queue is
    * served now. */
   Queue QueueInForce(const Queue& aEarlier) const;
@@ -536,6 +541,8 @@
   WorkerTimers mTimers;
   std::uint64_t mNextSessionNumber = 1;
   std::unordered_map<JobId, JobPtr> mJobs;
+  /** Hosts and prefixes at which the known jobs were handed in. */
+  std::set<std::pair<std::string, std::string>> mJobPlaces;
   /** Number of the jobs that are not handed in. */
   std::size_t mUnseenJobs = 0;
   const std::unique_ptr<AdmissionStrategy> mAdmission;
--- a/Source/Dispatch/CoordinatorLocal.cxx
+++ b/Source/Dispatch/CoordinatorLocal.cxx
@@ -25,8 +25,7 @@
            "a cancellation needs an elected leader, and none can be reached");
     return true;
   }
-  const QueueMatch match =
-    FindQueue(*mManifest, aRequest.mHost, aRequest.mPath);
+  const QueueMatch match = MatchOf(aRequest.mHost, aRequest.mPath);
   const JobId id(match.mPathSuffix);
   if (FindJob(id) != nullptr) {
     return false;
@@ -118,7 +117,7 @@
 void
 Coordinator::OnCallLost(CallId aCall, const CallerLeft& aCaller)
 {
-  const QueueMatch match = FindQueue(*mManifest, aCaller.mHost, aCaller.mPath);
+  const QueueMatch match = MatchOf(aCaller.mHost, aCaller.mPath);
   DispatchJob* job = FindJob(JobId(match.mPathSuffix));
   if (job == nullptr || job->HasEnded() || !mScope.IsLocal()) {
     return;
--- a/Source/Dispatch/CoordinatorQueues.cxx
+++ b/Source/Dispatch/CoordinatorQueues.cxx
@@ -42,6 +42,35 @@
   return queue;
 }
 
+QueueMatch
+Coordinator::MatchOf(const std::string& aHost, const std::string& aPath)
+{
+  const QueueMatch match = FindQueue(*mManifest, aHost, aPath);
+  if (match.mQueue != nullptr && FindJob(JobId(match.mPathSuffix))) {
+    return match;
+  }
+  for (const auto& [host, prefix] : mJobPlaces) {
+    if (host != aHost || aPath.compare(0, prefix.size(), prefix) != 0) {
+      continue;
+    }
+    const DispatchJob* job = FindJob(aPath.substr(prefix.size()));
+    const bool isFound = job != nullptr && job->mQueue.mHost == host &&
+                         job->mQueue.mPathPrefix == prefix;
+    if (isFound) {
+      return { &job->mQueue, std::string_view(aPath).substr(prefix.size()) };
+    }
+  }
+  return match;
+}
+
+bool
+Coordinator::LeadsToQueue(const JobCall& aRequest, const JobId& aId) const
+{
+  const QueueMatch match =
+    FindQueue(*mManifest, aRequest.mHost, aRequest.mPath);
+  return match.mQueue != nullptr && match.mPathSuffix == aId;
+}
+
 bool
 Coordinator::FollowQueue(DispatchJob& aJob)
 {
--- a/Source/Dispatch/CoordinatorRecords.cxx
+++ b/Source/Dispatch/CoordinatorRecords.cxx
@@ -257,6 +257,7 @@
   job->mState = aStored.mState;
   job->mHasBegun = aStored.mState != JobState::Queued;
   DispatchJob& loaded = *job;
+  mJobPlaces.emplace(loaded.mQueue.mHost, loaded.mQueue.mPathPrefix);
   mJobs.emplace(aStored.mSubmission.mId, std::move(job));
   if (loaded.HasEnded()) {
     const milliseconds since(
--- a/Tests/Dispatch/RejectionTest.cxx
+++ b/Tests/Dispatch/RejectionTest.cxx
@@ -54,6 +54,13 @@
       });
     }
   }
+  JobReply Ask(JobCallKind aKind, JobCall aJob)
+  {
+    aJob.mKind = aKind;
+    const CallId call = Call(aJob);
+    Run(milliseconds(50));
+    return ReplyTo(call).value();
+  }
   /** A job of two steps. */
   JobCall TwoSteps(bool aStored)
   {
@@ -171,3 +178,30 @@
   leader.Submit("job", 1, 1000);
   CHECK(leader.mReplies.count(leader.mLastCall) == 0);
 }
+
+// Guards against a job that can neither be asked for nor cancelled while it
+// runs, since its queue was dropped.
+TEST_CASE("Rejection: an accepted job is known by its path without its queue")
+{
+  DroppedQueue fixture;
+  const JobCall job = fixture.TwoSteps(true);
+  fixture.Submit(job, kTaskTime);
+  fixture.Run(milliseconds(100));
+  fixture.Make(GENERATE(QueueChange::Dropped, QueueChange::OtherPrefix));
+  SECTION("under the same leader") {}
+  SECTION("under the next one")
+  {
+    fixture.StartLeader();
+    fixture.Run(milliseconds(50));
+  }
+  CHECK(fixture.Ask(JobCallKind::Query, job).mState == JobState::Running);
+  // Nothing new is taken, and what was taken is not denied.
+  CHECK(fixture.Ask(JobCallKind::Submit, job).mKind == JobReplyKind::Unknown);
+  JobCall other = fixture.CallOf("patient", "j2", 1, 1000, true);
+  CHECK(fixture.Ask(JobCallKind::Submit, other).mKind ==
+        JobReplyKind::UnknownQueue);
+  CHECK(fixture.Ask(JobCallKind::Cancel, job).mState == JobState::Cancelled);
+  fixture.Run(milliseconds(1500));
+  CHECK(fixture.mFleet.StartsOf("j1") == 2);
+  CHECK(fixture.mFleet.Running() == 0);
+}
