--- a/Source/Dispatch/CoordinatorJobs.cxx
+++ b/Source/Dispatch/CoordinatorJobs.cxx
@@ -155,6 +155,8 @@
   const TimePoint now = mClock.MonotonicNow();
   aJob.mState = aState;
   aJob.mEndedAt = now;
+  // Only the state of an ended job is asked for.
+  std::string().swap(aJob.mSubmission.mPayload);
   if (aJob.mIsHandedIn) {
     mLatencies.mJobs.Add(duration_cast<milliseconds>(now - aJob.mArrivedAt));
   }
