Dispatch: A local leader keeps a cancelling whose run it finds

A local leader that finds a run of a job of which it has started nothing leaves the job to the elected leader and forgets it; since the cancellings that were stored before the cut are loaded, it forgot such a one too. Change: only open jobs are left.

--- a/Source/Dispatch/CoordinatorHolds.cxx
+++ b/Source/Dispatch/CoordinatorHolds.cxx
@@ -409,7 +409,7 @@
   DispatchJob* job = FindJob(id.mJob);
   if (mScope.IsLocal()) {
     StopRun(aWorker, id, *aWorker.Find(id));
-    if (job != nullptr && !job->mStarted) {
+    if (job != nullptr && !job->mStarted && !job->HasEnded()) {
       LeaveToElectedLeader(*job);
     }
     return;
--- a/Tests/Dispatch/CancelAheadTest.cxx
+++ b/Tests/Dispatch/CancelAheadTest.cxx
@@ -123,6 +123,34 @@
   CHECK(fixture.mFleet.StartsOf("j1") == 0);
 }
 
+// Guards against a cancelling that a local leader forgets when it finds a run
+// of the job, which the elected leader was about to stop.
+TEST_CASE("Cancel ahead: a local leader keeps a cancelling whose run it finds")
+{
+  ScriptedLeader leader;
+  DispatchState state;
+  state.mFence = ScriptedLeader::kFence;
+  state.mWorkers["w0"] = ScriptedLeader::ReportOf("w0");
+  state.mWorkers["w0"].mDataCentre = "zagreb";
+  state.mCancelledBestEffort["job"] = 1;
+  leader.mCoordinator.BeginLeading(
+    ScriptedLeader::kFence, state, {}, { "zagreb", 7 });
+  ActiveRun found;
+  found.mRun = { { "job", 0, 0, 0 }, 77 };
+  leader.AnswerHold({ found });
+  REQUIRE(leader.mOrders.mStops.size() == 1);
+  EndedRun end;
+  end.mNumber = 1;
+  end.mRun = found.mRun;
+  end.mEnd = RunEnd::Stopped;
+  leader.Run(milliseconds(30));
+  leader.AnswerHold({}, { end });
+  leader.Run(milliseconds(1200));
+  leader.Submit("job", 1, 1000);
+  CHECK(leader.mReplies.at(leader.mLastCall).mState == JobState::Cancelled);
+  CHECK(leader.mOrders.mStarts.empty());
+}
+
 // Guards against runs that go on after the cancelling: the next leader was
 // asked to cancel the job before its gateway had handed it in there.
 TEST_CASE("Cancel ahead: runs that the former leader started are stopped")
