Dispatch: Takes no gateway for silent after it was held up itself

A local leader that was held up for 250 ms looked at its gateways' silence before it had read what they had sent. Change: it does not look in the first tick after 100 ms without one. The text of a rejection is passed by reference; a test asks for the time that is left of a caller's in a call that goes to a second leader.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -444,7 +444,7 @@
 Coordinator::Reject(CallId aCall,
                     const JobCall& aRequest,
                     JobReplyKind aKind,
-                    std::string aMessage)
+                    const std::string& aMessage)
 {
   JobReply reply = RejectionOf(MayHaveRun(aRequest), aKind, aMessage);
   if (reply.mKind == JobReplyKind::Unavailable) {
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -280,7 +280,7 @@
   void Reject(CallId aCall,
               const JobCall& aRequest,
               JobReplyKind aKind,
-              std::string aMessage);
+              const std::string& aMessage);
   /** Returns whether an earlier leader may have run the job that a call hands
    * in: it was sent there, or traces of the job were found. */
   bool MayHaveRun(const JobCall& aRequest) const;
--- a/Source/Dispatch/CoordinatorNode.cxx
+++ b/Source/Dispatch/CoordinatorNode.cxx
@@ -23,6 +23,10 @@
 constexpr milliseconds kLeadingTickInterval{ 10 };
 constexpr milliseconds kIdleTickInterval{ 25 };
 constexpr milliseconds kPeerQueryInterval{ 1000 };
+
+/** After a longer time between two ticks, this instance has not read what other
+ * instances sent meanwhile. */
+constexpr milliseconds kMaxTickDelay{ 100 };
 constexpr milliseconds kWorkerExpiryCheckInterval{ 1000 };
 
 /** A worker is removed after this many report intervals without a report. Its
@@ -256,7 +260,10 @@
   UpdateLeadership();
   mReportExchange.Tick();
   mOrderRelay.Tick();
-  if (mCoordinator.IsLocal()) {
+  // What gateways sent while this instance was held up is handled after this.
+  const bool wasHeldUp = now - mTickedAt > kMaxTickDelay;
+  mTickedAt = now;
+  if (mCoordinator.IsLocal() && !wasHeldUp) {
     EndCallsOfLostGateways(now);
   }
   if (IsLeadingNow()) {
--- a/Source/Dispatch/CoordinatorNode.h
+++ b/Source/Dispatch/CoordinatorNode.h
@@ -199,6 +199,7 @@
   Term mFencingTerm = 0;
   bool mDraining = false;
   PeerContacts mContacts;
+  Clock::Monotonic mTickedAt{};
   Clock::Monotonic mNextPeerUpdateAt{};
   Clock::Monotonic mNextExpiryCheckAt{};
 };
--- a/Tests/Dispatch/GatewayTest.cxx
+++ b/Tests/Dispatch/GatewayTest.cxx
@@ -190,6 +190,27 @@
   CHECK(fixture.mReply->mKind == JobReplyKind::Accepted);
 }
 
+// A leader bounds by it for how long it works for the caller (review/11).
+TEST_CASE("Gateway: a call names the time that is left of its caller's")
+{
+  GatewayFixture fixture;
+  fixture.Run(milliseconds(100));
+  fixture.Submit(1500);
+  const RecordingRpc::PendingCall first = fixture.mRpc.TakeJob();
+  CHECK(UnpackMessage<JobCall>(first.mRequest).value().mWaitMs == 1500);
+  first.mDone(Error(ErrorKind::PeerTimeout, "connection lost"));
+  fixture.mLeader = "none";
+  fixture.Run(milliseconds(600));
+  fixture.mLeader = "b";
+  fixture.mTerm = 3;
+  fixture.Run(milliseconds(200));
+  REQUIRE(fixture.mRpc.Jobs().size() == 1);
+  const JobCall second =
+    UnpackMessage<JobCall>(fixture.mRpc.TakeJob().mRequest).value();
+  CHECK(second.mWaitMs <= 900);
+  CHECK(second.mWaitMs >= 700);
+}
+
 TEST_CASE("Gateway: a call that reached a leader is never reported as not run")
 {
   GatewayFixture fixture;
