--- a/Tests/Dispatch/DispatchFixture.h
+++ b/Tests/Dispatch/DispatchFixture.h
@@ -146,6 +146,19 @@
     return CurrentLeader().mCoordinator;
   }
 
+  /** Puts an edited copy of the manifest in force, of the next version. */
+  template<typename Edit>
+  void ChangeManifest(Edit aEdit)
+  {
+    dispatch::Manifest manifest = *mManifest;
+    ++manifest.mVersion;
+    aEdit(manifest);
+    mManifest = std::make_shared<const dispatch::Manifest>(manifest);
+    if (!mLeaders.empty()) {
+      CurrentCoordinator().SetManifest(mManifest);
+    }
+  }
+
   /** Disconnects the first workers from the elected leader, like a network
    * partition around their data centre. */
   void Disconnect(int aWorkers)
--- a/Tests/Dispatch/QueueMoveTest.cxx
+++ b/Tests/Dispatch/QueueMoveTest.cxx
@@ -22,27 +22,16 @@
     AddWorkers(3, kMilliCores);
     mReports[1].mPool = "other";
     mReports[2].mPool = "other";
-    Change([](Manifest& aManifest) {
+    ChangeManifest([](Manifest& aManifest) {
       aManifest.mPools.push_back({ "other", false, 64 });
     });
     StartLeader();
     Run(milliseconds(100));
   }
 
-  template<typename Edit>
-  void Change(Edit aEdit)
-  {
-    Manifest manifest = *mManifest;
-    ++manifest.mVersion;
-    aEdit(manifest);
-    mManifest = std::make_shared<const Manifest>(manifest);
-    if (!mLeaders.empty()) {
-      CurrentCoordinator().SetManifest(mManifest);
-    }
-  }
   void MoveTo(const std::string& aPool)
   {
-    Change([&](Manifest& aManifest) {
+    ChangeManifest([&](Manifest& aManifest) {
       for (Queue& queue : aManifest.mQueues) {
         queue.mPool = aPool;
       }
@@ -105,7 +94,7 @@
   }
   SECTION("it moves and gets another name")
   {
-    fixture.Change([](Manifest& aManifest) {
+    fixture.ChangeManifest([](Manifest& aManifest) {
       aManifest.mQueues[1].mName = "renamed";
       aManifest.mQueues[1].mPool = "other";
     });
@@ -140,7 +129,8 @@
   MovingQueue fixture;
   fixture.Submit(fixture.ThreeSteps("j1", true), kTaskTime);
   fixture.Run(milliseconds(50));
-  fixture.Change([](Manifest& aManifest) { aManifest.mQueues.pop_back(); });
+  fixture.ChangeManifest(
+    [](Manifest& aManifest) { aManifest.mQueues.pop_back(); });
   SECTION("under the same leader") {}
   SECTION("under the next one")
   {
@@ -164,7 +154,7 @@
   fixture.Submit(urgent, milliseconds(100));
   fixture.Submit(fixture.CallOf("patient", "patient", 1, kMilliCores, true),
                  milliseconds(100));
-  fixture.Change([](Manifest& aManifest) {
+  fixture.ChangeManifest([](Manifest& aManifest) {
     aManifest.mQueues[0].mPriority = 2;
     aManifest.mQueues[1].mPriority = 0;
   });
--- a/Tests/Dispatch/RejectionTest.cxx
+++ b/Tests/Dispatch/RejectionTest.cxx
@@ -34,22 +34,13 @@
     Run(milliseconds(100));
   }
 
-  template<typename Edit>
-  void Change(Edit aEdit)
-  {
-    Manifest manifest = *mManifest;
-    ++manifest.mVersion;
-    aEdit(manifest);
-    mManifest = std::make_shared<const Manifest>(manifest);
-    CurrentCoordinator().SetManifest(mManifest);
-  }
   void Make(QueueChange aChange)
   {
     if (aChange == QueueChange::Dropped) {
-      Change([](Manifest& aManifest) { aManifest.mQueues.pop_back(); });
+      ChangeManifest([](Manifest& aManifest) { aManifest.mQueues.pop_back(); });
     }
     if (aChange == QueueChange::OtherPrefix) {
-      Change([](Manifest& aManifest) {
+      ChangeManifest([](Manifest& aManifest) {
         aManifest.mQueues[1].mPathPrefix = "/patients/";
       });
     }
@@ -133,7 +124,8 @@
       INFO(row.mName << ", earlier sends " << earlierSends);
       DroppedQueue fixture;
       JobCall job = fixture.CallOf("patient", "j1", 1, 1000, false);
-      fixture.Change([&](Manifest& aManifest) { row.mEdit(job, aManifest); });
+      fixture.ChangeManifest(
+        [&](Manifest& aManifest) { row.mEdit(job, aManifest); });
       job.mEarlierSends = earlierSends;
       const CallId call = fixture.Call(job);
       REQUIRE(fixture.ReplyTo(call));
