Dispatch: Looks a queue up once for all jobs when the manifest changes

Since jobs follow their queues, a change of the manifest cost the leader open jobs x queues, twice. Change: what a queue of an earlier version is in the manifest in force is kept until the next change; new leaders that load jobs use it too. Leftovers in a test table are gone.

--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -301,7 +302,10 @@
   bool LeadsToQueue(const JobCall& aRequest, const JobId& aId) const;
   /** Returns the settings by which a job of an earlier version's queue is
    * served now. */
-  Queue QueueInForce(const Queue& aEarlier) const;
+  Queue QueueInForce(const Queue& aEarlier);
+  /** Returns what FindQueueInForce() finds, which is kept until the manifest
+   * changes. */
+  const Queue* FindInForce(const Queue& aEarlier);
   /** Lets an open job follow its queue to the pool and the priority that the
    * manifest in force states. Returns whether anything has changed. */
   bool FollowQueue(DispatchJob& aJob);
@@ -531,6 +535,10 @@
   std::set<std::pair<TimePoint, JobId>> mAwaitedUntil;
   TimePoint mLeadingSince{};
   std::shared_ptr<const Manifest> mManifest;
+  /** Queues of the manifest in force by the name, host and prefix that they had
+   * in earlier versions; null where a queue was dropped. */
+  std::map<std::tuple<QueueName, std::string, std::string>, const Queue*>
+    mQueuesInForce;
   DataCentreNames mEvacuated;
   WorkerSessions mWorkers;
   RunLedger mLedger;
--- a/Source/Dispatch/CoordinatorLocal.cxx
+++ b/Source/Dispatch/CoordinatorLocal.cxx
@@ -1,4 +1,5 @@
-// Limits of a local leader: which calls only an elected leader may serve.
+// Limits of a local leader: which calls only an elected leader may serve, and
+// for how long it works for a caller.
 #include "Dispatch/Coordinator.h"
 
 namespace almondspoke::dispatch {
--- a/Source/Dispatch/CoordinatorQueues.cxx
+++ b/Source/Dispatch/CoordinatorQueues.cxx
@@ -7,15 +7,15 @@
 Coordinator::SetManifest(std::shared_ptr<const Manifest> aManifest)
 {
   mManifest = std::move(aManifest);
+  mQueuesInForce.clear();
   std::uint64_t moved = 0;
   std::uint64_t withoutQueue = 0;
   for (const auto& [id, job] : mJobs) {
     if (job->HasEnded()) {
       continue;
     }
+    withoutQueue += FindInForce(job->mQueue) == nullptr ? 1 : 0;
     moved += FollowQueue(*job) ? 1 : 0;
-    withoutQueue +=
-      FindQueueInForce(*mManifest, job->mQueue) == nullptr ? 1 : 0;
   }
   EventLine(mLog, "manifest-in-force")
     .With("version", mManifest->mVersion)
@@ -24,16 +24,30 @@
     .With("jobs_without_queue", withoutQueue);
 }
 
+// Many jobs share a few queues, and a manifest may have thousands.
+const Queue*
+Coordinator::FindInForce(const Queue& aEarlier)
+{
+  if (!mManifest) {
+    return nullptr;
+  }
+  const auto [found, isNew] = mQueuesInForce.try_emplace(
+    { aEarlier.mName, aEarlier.mHost, aEarlier.mPathPrefix }, nullptr);
+  if (isNew) {
+    found->second = FindQueueInForce(*mManifest, aEarlier);
+  }
+  return found->second;
+}
+
 // Where a job runs, and before which others, is the operator's to change. What
 // its caller was promised when it was accepted stays: the time by which it is
 // due, and the number of its attempts. So does the path by which it is asked
 // for. A job whose queue was dropped stays with the last pool.
 Queue
-Coordinator::QueueInForce(const Queue& aEarlier) const
+Coordinator::QueueInForce(const Queue& aEarlier)
 {
   Queue queue = aEarlier;
-  const Queue* current =
-    mManifest ? FindQueueInForce(*mManifest, aEarlier) : nullptr;
+  const Queue* current = FindInForce(aEarlier);
   if (current != nullptr) {
     queue.mName = current->mName;
     queue.mPool = current->mPool;
--- a/Tests/Dispatch/RejectionTest.cxx
+++ b/Tests/Dispatch/RejectionTest.cxx
@@ -68,7 +68,7 @@
 struct RejectionCase
 {
   const char* mName;
-  void (*mEdit)(JobCall&, Manifest&);
+  void (*mEdit)(JobCall&);
   JobReplyKind mKind;
 };
 
@@ -108,15 +108,13 @@
 {
   const std::vector<RejectionCase> cases = {
     { "no queue",
-      [](JobCall& aCall, Manifest&) { aCall.mPath = "/nowhere/j1"; },
+      [](JobCall& aCall) { aCall.mPath = "/nowhere/j1"; },
       JobReplyKind::UnknownQueue },
     { "malformed",
-      [](JobCall& aCall, Manifest&) { aCall.mJob.mSteps.clear(); },
+      [](JobCall& aCall) { aCall.mJob.mSteps.clear(); },
       JobReplyKind::Malformed },
     { "not supported",
-      [](JobCall& aCall, Manifest&) {
-        aCall.mJob.mUnsupportedFeature = "gang";
-      },
+      [](JobCall& aCall) { aCall.mJob.mUnsupportedFeature = "gang"; },
       JobReplyKind::Unavailable },
   };
   for (const RejectionCase& row : cases) {
@@ -124,8 +122,7 @@
       INFO(row.mName << ", earlier sends " << earlierSends);
       DroppedQueue fixture;
       JobCall job = fixture.CallOf("patient", "j1", 1, 1000, false);
-      fixture.ChangeManifest(
-        [&](Manifest& aManifest) { row.mEdit(job, aManifest); });
+      row.mEdit(job);
       job.mEarlierSends = earlierSends;
       const CallId call = fixture.Call(job);
       REQUIRE(fixture.ReplyTo(call));
