Dispatch: Makes Retry-After a part of the one rule for rejections

The delay was set behind the rule, so that an unknown outcome could have carried it; and each new job was looked for twice at its own place. Change: the rule takes the delay and drops it with the rejection; the place that was tried is left out.

--- a/Source/Dispatch/Coordinator.cxx
+++ b/Source/Dispatch/Coordinator.cxx
@@ -446,10 +446,10 @@
                     JobReplyKind aKind,
                     const std::string& aMessage)
 {
-  JobReply reply = RejectionOf(MayHaveRun(aRequest), aKind, aMessage);
-  if (reply.mKind == JobReplyKind::Unavailable) {
-    reply.mRetryAfterMs = kUnavailableRetryMs;
-  }
+  const std::uint32_t retryAfterMs =
+    aKind == JobReplyKind::Unavailable ? kUnavailableRetryMs : 0;
+  const JobReply reply =
+    RejectionOf(MayHaveRun(aRequest), aKind, aMessage, retryAfterMs);
   EventLine(mLog, "call-answered")
     .With("method", NameOf(aRequest.mKind))
     .With("path", aRequest.mPath)
@@ -477,7 +477,8 @@
 JobReply
 Coordinator::RejectionOf(bool aMayHaveRun,
                          JobReplyKind aKind,
-                         const std::string& aMessage)
+                         const std::string& aMessage,
+                         std::uint32_t aRetryAfterMs)
 {
   static constexpr std::array<JobReplyKind, 4> kNotRun = {
     JobReplyKind::UnknownQueue,
@@ -490,8 +491,10 @@
   JobReply reply;
   reply.mKind = aKind;
   reply.mMessage = aMessage;
+  reply.mRetryAfterMs = aRetryAfterMs;
   if (aMayHaveRun && saysNotRun) {
     reply.mKind = JobReplyKind::Unknown;
+    reply.mRetryAfterMs = 0;
     reply.mMessage += "; the job may have run before";
   }
   return reply;
--- a/Source/Dispatch/Coordinator.h
+++ b/Source/Dispatch/Coordinator.h
@@ -289,7 +289,8 @@
    * that the outcome is unknown if this may not be true. */
   static JobReply RejectionOf(bool aMayHaveRun,
                               JobReplyKind aKind,
-                              const std::string& aMessage);
+                              const std::string& aMessage,
+                              std::uint32_t aRetryAfterMs);
   void ReplyAll(DispatchJob& aJob, const JobReply& aReply);
   void Refuse(DispatchJob& aJob, const char* aReason);
   double RandomJitter();
--- a/Source/Dispatch/CoordinatorAdmission.cxx
+++ b/Source/Dispatch/CoordinatorAdmission.cxx
@@ -66,11 +66,12 @@
     .With("order_ms", std::int64_t{ aJob.mOrderTime.count() })
     .With("delay_ms", std::int64_t{ mLoad.Delay().count() })
     .With("retry_after_ms", std::int64_t{ aDecision.mRetryDelay.count() });
-  JobReply reply =
-    RejectionOf(!aJob.MayBeRefused(), JobReplyKind::Refused, aMessage);
-  reply.mRetryAfterMs =
-    static_cast<std::uint32_t>(aDecision.mRetryDelay.count());
-  mReplies.Reply(aCall, reply);
+  mReplies.Reply(
+    aCall,
+    RejectionOf(!aJob.MayBeRefused(),
+                JobReplyKind::Refused,
+                aMessage,
+                static_cast<std::uint32_t>(aDecision.mRetryDelay.count())));
 }
 
 AdmissionInputs
@@ -205,10 +206,11 @@
   ++mCounters.mRefused;
   const AdmissionDecision decision = Decide(aJob, InputsFor(aJob));
   ++mCounters.mRefusedAfterWait;
-  JobReply reply =
-    RejectionOf(!aJob.MayBeRefused(), JobReplyKind::Refused, aReason);
-  reply.mRetryAfterMs =
-    static_cast<std::uint32_t>(decision.mRetryDelay.count());
+  const JobReply reply =
+    RejectionOf(!aJob.MayBeRefused(),
+                JobReplyKind::Refused,
+                aReason,
+                static_cast<std::uint32_t>(decision.mRetryDelay.count()));
   EventLine(mLog, "job-refused")
     .With("job", aJob.mSubmission.mId)
     .With("queue", aJob.mQueue.mName)
--- a/Source/Dispatch/CoordinatorQueues.cxx
+++ b/Source/Dispatch/CoordinatorQueues.cxx
@@ -64,7 +64,13 @@
     return match;
   }
   for (const auto& [host, prefix] : mJobPlaces) {
-    if (host != aHost || aPath.compare(0, prefix.size(), prefix) != 0) {
+    // Without this place the job has been looked for above.
+    const bool isTried =
+      match.mQueue != nullptr &&
+      match.mPathSuffix.size() + prefix.size() == aPath.size();
+    const bool isPlace =
+      host == aHost && aPath.compare(0, prefix.size(), prefix) == 0;
+    if (isTried || !isPlace) {
       continue;
     }
     const DispatchJob* job = FindJob(aPath.substr(prefix.size()));
